Set down the shape of the code

Cause: the repository was empty; every later part needs the same ids, units, interfaces and folders. Conclusion: the parts can now be built side by side against these types.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,21 @@
+LINT := bin/golangci-lint
+
+.PHONY: build test lint bench demo
+
+build:
+	go build -o bin/ ./cmd/...
+
+$(LINT): tools/go.mod
+	cd tools && go build -o ../$(LINT) github.com/golangci/golangci-lint/v2/cmd/golangci-lint
+
+lint: $(LINT)
+	$(LINT) fmt --diff
+	$(LINT) run ./...
+
+test: lint
+	go vet ./...
+	go build ./...
+	go test -race ./...
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./...
--- /dev/null
+++ b/decide/view.go
@@ -0,0 +1,55 @@
+// Package decide takes the decisions of a host: typed events go in, typed
+// actions come out. It knows no encoding and does no input or output, so that
+// a packet front end and a trace replay use the same code.
+package decide
+
+import (
+	"net/netip"
+
+	"pimentospread"
+	"pimentospread/member"
+	"pimentospread/policy"
+	"pimentospread/pool"
+	"pimentospread/release"
+	"pimentospread/service"
+)
+
+// View is what the control duty tells the deciders about the cell. It is
+// never changed after it was handed over.
+type View struct {
+	Self        pimentospread.HostID
+	Incarnation pimentospread.Incarnation
+	Release     *release.Release
+	// Services are all services with their pool, policy and table.
+	Services map[pimentospread.ServiceID]*ServiceView
+	// ByAddress finds the service of an address.
+	ByAddress map[netip.AddrPort]pimentospread.ServiceID
+	// Active says that new flows go by the current epoch.
+	Active bool
+	// Live are the hosts that answer and do not leave, this one included when it is ready.
+	Live []member.Candidate
+	// Roster and PreviousRoster are the platform's lists from which electors are chosen.
+	Roster, PreviousRoster member.Roster
+	// Flagged targets are reported down by at least one host.
+	Flagged map[pimentospread.TargetID]bool
+	// Avoided targets are down and every live peer has acknowledged the flag.
+	Avoided map[pimentospread.TargetID]bool
+	// Leaving says that this host is shutting down.
+	Leaving bool
+}
+
+// ServiceView is a service with what it refers to.
+type ServiceView struct {
+	Service service.Service
+	Pool    pool.Pool
+	Policy  policy.Policy
+	Table   *pool.Table
+}
+
+// Generation returns the generation of the view's release, or zero without one.
+func (v *View) Generation() pimentospread.Generation {
+	if v == nil || v.Release == nil {
+		return 0
+	}
+	return v.Release.Generation
+}
--- /dev/null
+++ b/metrics.go
@@ -0,0 +1,15 @@
+package pimentospread
+
+// Counter is a metric that only rises.
+type Counter interface {
+	// Add adds n.
+	Add(n int)
+}
+
+// Metrics registers the metrics of a process.
+type Metrics interface {
+	// Counter returns the counter of the given name, such as `drops_total{cause="x"}`.
+	Counter(name string) Counter
+	// Gauge registers a metric that is read when it is collected.
+	Gauge(name string, read func() float64)
+}
--- /dev/null
+++ b/platform.go
@@ -0,0 +1,42 @@
+package pimentospread
+
+import (
+	"context"
+	"encoding/json"
+)
+
+// ObjectKind names a kind of object in the platform's object API.
+type ObjectKind string
+
+// Kinds of objects that the system keeps in the platform.
+const (
+	KindRelease ObjectKind = "Release"
+	KindArchive ObjectKind = "ReleaseArchive"
+	KindRoster  ObjectKind = "Roster"
+)
+
+// ObjectKey identifies an object of the platform.
+type ObjectKey struct {
+	Kind ObjectKind `json:"Kind"`
+	Name string     `json:"Name"`
+}
+
+// Object is a versioned value in the platform's object API.
+type Object struct {
+	ObjectKey
+	Version ObjectVersion   `json:"Version"`
+	Value   json.RawMessage `json:"Value"`
+}
+
+// Platform is the object API that keeps everything that must outlive a host.
+type Platform interface {
+	// Get returns the object. A missing object gives an error of type ErrNotFound.
+	Get(ctx context.Context, key ObjectKey) (Object, error)
+	// Put writes the value if the object still has the expected version; zero
+	// creates it. It returns the new version. A lost race gives ErrConflict; an
+	// answer that did not arrive gives ErrUncertain, and the write may have happened.
+	Put(ctx context.Context, key ObjectKey, value json.RawMessage, expected ObjectVersion) (ObjectVersion, error)
+	// Watch waits until the object has a version above after and returns it.
+	// It returns ErrTimeout when the platform ends the wait without a change.
+	Watch(ctx context.Context, key ObjectKey, after ObjectVersion) (Object, error)
+}
