Serve callers in turn and refuse work early

The thin queue kept one list for each class: a caller that sends ten times as much took ten times the turns, a flood of urgent work stopped the lower classes for good, and removal scanned every queue.

Each class now keeps a queue for each caller and serves callers in turn. A lower class takes one turn whenever its floor has added up to a full one. The queue is bounded for a caller, a class and a service; a full service takes the place of less urgent work, a full class that of the caller with the most requests. Work whose expected wait passes its deadline is refused when it arrives.

--- /dev/null
+++ b/admission/queue_test.go
@@ -0,0 +1,171 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"pimentospread"
+	"pimentospread/policy"
+)
+
+// ledger follows each offered request to the one way in which it leaves the queue.
+type ledger struct {
+	t       *rapid.T
+	waiting map[pimentospread.RequestID]pimentospread.Work
+}
+
+func (l ledger) leave(w pimentospread.Work, how string) {
+	if _, ok := l.waiting[w.Request]; !ok {
+		l.t.Fatalf("request %s leaves a second time or was never offered: %s", w.Request, how)
+	}
+	delete(l.waiting, w.Request)
+}
+
+// Guards against work that is lost, run twice, run after its expiry, or that
+// exceeds the bounds of a caller, a class or a service.
+func TestQueueLosesNothingAndStaysBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := testService(2, 2)
+		s.Classes = []policy.Class{rule(low, 1, 8), rule(urgent, 9, 4), rule("bid", 9, 5)}
+		q := NewQueue(QueueDeps{})
+		q.Configure(start, []Service{s}, hostIDs(2), "host-0")
+		now, sequence, pending := start, uint64(0), 0
+		l := ledger{t, map[pimentospread.RequestID]pimentospread.Work{}}
+		refused := func(all []pimentospread.Refusal) {
+			for _, r := range all {
+				l.leave(r.Work, r.Reason)
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"offer": func(t *rapid.T) {
+				sequence++
+				class := rapid.SampledFrom([]pimentospread.Class{low, low, urgent, "bid", "unknown"}).Draw(t, "class")
+				w := work(rapid.Uint64Range(1, 5).Draw(t, "caller"), sequence, class, now)
+				w.Deadline = now.Add(time.Duration(rapid.IntRange(-1, 8000).Draw(t, "left")) * time.Millisecond)
+				l.waiting[w.Request] = w
+				refused(q.Offer(now, w))
+			},
+			"next": func(t *rapid.T) {
+				if w, ok := q.Next(now, 1); ok {
+					if !now.Before(w.Deadline) || !now.Before(w.Arrived.Add(5*time.Second)) {
+						t.Fatalf("request %s runs after its expiry", w.Request)
+					}
+					l.leave(w, "next")
+					q.Ended(now, 1, time.Duration(rapid.IntRange(1, 500).Draw(t, "took"))*time.Millisecond)
+				}
+			},
+			"remove": func(t *rapid.T) {
+				id := pimentospread.RequestID{Caller: pimentospread.CallerID(rapid.Uint64Range(1, 5).Draw(t, "caller")), Sequence: rapid.Uint64Range(0, sequence).Draw(t, "sequence")}
+				if w := l.waiting[id]; q.Remove(id) {
+					l.leave(w, "remove")
+				}
+			},
+			"expire": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "passed")) * time.Millisecond)
+				refused(q.Expire(now))
+			},
+			"configure": func(t *rapid.T) {
+				classes := rapid.IntRange(0, 3).Draw(t, "classes")
+				changed := s
+				changed.Classes = s.Classes[:classes]
+				q.Configure(now, []Service{changed}, hostIDs(2), "host-0")
+				q.Configure(now, []Service{s}, hostIDs(2), "host-0")
+			},
+			"": func(t *rapid.T) {
+				pending = len(q.refused)
+				if got := q.Waiting(1) + pending; got != len(l.waiting) {
+					t.Fatalf("%d requests wait or are refused, want %d", got, len(l.waiting))
+				}
+				if q.Waiting(1) > 8 || len(q.expiry) != q.Waiting(1) {
+					t.Fatalf("%d requests wait, %d in the expiry heap, bound 8", q.Waiting(1), len(q.expiry))
+				}
+				for _, c := range q.services[1].classes {
+					for _, e := range c.callers {
+						if e.length > c.callerBound() || c.waiting > c.rule.QueueLength {
+							t.Fatalf("class %s has %d requests, a caller has %d", c.rule.Name, c.waiting, e.length)
+						}
+					}
+				}
+			},
+		})
+	})
+}
+
+// Guards against a queue that forgets urgency, floors or the turns of callers.
+func TestQueueOrder(t *testing.T) {
+	type offer struct {
+		caller uint64
+		class  pimentospread.Class
+		count  int
+	}
+	scenarios := map[string]struct {
+		offers []offer
+		turns  int
+		want   map[pimentospread.Class]map[pimentospread.CallerID]int
+	}{
+		"urgent work goes first and the lower class keeps one turn in twenty": {
+			offers: []offer{{1, low, 16}, {2, urgent, 16}, {3, urgent, 16}, {4, urgent, 16}}, turns: 40,
+			want: map[pimentospread.Class]map[pimentospread.CallerID]int{low: {1: 2}, urgent: {2: 13, 3: 13, 4: 12}},
+		},
+		"callers are served in turn": {
+			offers: []offer{{1, low, 16}, {2, low, 2}, {3, low, 4}}, turns: 12,
+			want: map[pimentospread.Class]map[pimentospread.CallerID]int{low: {1: 6, 2: 2, 3: 4}},
+		},
+		"the caller with the most requests yields in a full class": {
+			offers: []offer{{1, low, 16}, {2, low, 16}, {3, low, 16}, {4, low, 16}, {5, low, 16}}, turns: 64,
+			want: map[pimentospread.Class]map[pimentospread.CallerID]int{low: {1: 13, 2: 13, 3: 13, 4: 13, 5: 12}},
+		},
+		"urgent work pushes out less urgent work": {
+			offers: []offer{{1, low, 16}, {2, low, 16}, {3, low, 16}, {4, low, 16}, {5, urgent, 8}}, turns: 64,
+			want: map[pimentospread.Class]map[pimentospread.CallerID]int{low: {1: 14, 2: 14, 3: 14, 4: 14}, urgent: {5: 8}},
+		},
+	}
+	for name, s := range scenarios {
+		t.Run(name, func(t *testing.T) {
+			q := NewQueue(QueueDeps{})
+			q.Configure(start, []Service{testService(1, 2)}, hostIDs(1), "host-0")
+			sequence := uint64(0)
+			for _, o := range s.offers {
+				for range o.count {
+					sequence++
+					q.Offer(start, work(o.caller, sequence, o.class, start))
+				}
+			}
+			got := map[pimentospread.Class]map[pimentospread.CallerID]int{}
+			for range s.turns {
+				w, _ := q.Next(start, 1)
+				if got[w.Class] == nil {
+					got[w.Class] = map[pimentospread.CallerID]int{}
+				}
+				got[w.Class][w.Caller]++
+			}
+			if diff := cmp.Diff(s.want, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// Guards against work that takes a place although its deadline passes before its turn.
+func TestQueueRefusesWorkThatWouldWaitTooLong(t *testing.T) {
+	q := NewQueue(QueueDeps{})
+	q.Configure(start, []Service{testService(1, 2)}, hostIDs(1), "host-0")
+	q.Ended(start, 1, time.Second)
+	for i := range uint64(4) {
+		q.Offer(start, work(i+1, 1, low, start))
+	}
+	hurried := func(caller uint64, class pimentospread.Class, left time.Duration) pimentospread.Work {
+		w := work(caller, 2, class, start)
+		w.Deadline = start.Add(left)
+		return w
+	}
+	late, soon, first := hurried(9, low, time.Second), hurried(10, low, 3*time.Second), hurried(11, urgent, time.Second)
+	want := []pimentospread.Refusal{{Work: late, Reason: ReasonWait}}
+	got := append(append(q.Offer(start, late), q.Offer(start, soon)...), q.Offer(start, first)...)
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
