Split slots over hosts and learn target limits

The thin limiter gave each host an equal part of each target, at least one: on 8 hosts, a target with 2 slots was offered 8 requests at a time, and neither shedding nor timeouts changed that.

The slots of a pool are now matched to live hosts as a whole, the pair with the highest rendezvous score first. Numbers differ by at most one slot, each host has at least one, and no message is needed. The limit at a target halves on a shed, a timeout and a fast failure and grows by one slot a second; below one slot the target rests. Cold targets open slot after slot over all hosts together. Reports only lower. Slots are split again over the targets that take work when one opens or closes. A host whose own targets are excluded, cold or resting uses one spare slot elsewhere. Retries have a budget of one for ten first attempts and stop while the pool sheds.

--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"slices"
 	"time"
 
 	"pimentospread"
@@ -14,87 +13,176 @@
 	Metrics pimentospread.Metrics
 }
 
-// Limiter chooses targets within this host's share of their slots. It implements pimentospread.Placement.
+// Limiter chooses targets within this host's share of their slots. It
+// implements pimentospread.Placement. Hosts that are configured with the same
+// targets and live hosts derive shares that do not overlap, without a message.
 type Limiter struct {
-	services map[pimentospread.ServiceID][]*target
-	targets  map[pimentospread.TargetID]*target
-	tenths   map[pimentospread.ServiceID]int
+	configured bool
+	self       pimentospread.HostID
+	live       []pimentospread.HostID
+	services   map[pimentospread.ServiceID]*placedService
+	targets    map[pimentospread.TargetID]*targetLimit
+	cuts       map[pimentospread.Result]pimentospread.Counter
 }
 
 var _ pimentospread.Placement = (*Limiter)(nil)
 
-type target struct {
-	id             pimentospread.TargetID
-	limit, running int
-	closed         bool
+type placedService struct {
+	group  *group
+	budget retryBudget
 }
 
 // NewLimiter returns a limiter without targets.
-func NewLimiter(_ LimiterDeps) *Limiter {
-	return &Limiter{
-		services: map[pimentospread.ServiceID][]*target{},
-		targets:  map[pimentospread.TargetID]*target{},
-		tenths:   map[pimentospread.ServiceID]int{},
+func NewLimiter(deps LimiterDeps) *Limiter {
+	l := &Limiter{
+		services: map[pimentospread.ServiceID]*placedService{},
+		targets:  map[pimentospread.TargetID]*targetLimit{},
+		cuts:     map[pimentospread.Result]pimentospread.Counter{},
 	}
+	if deps.Metrics != nil {
+		l.cuts[pimentospread.ResultShed] = deps.Metrics.Counter(`admission_limit_cuts_total{cause="shed"}`)
+		l.cuts[pimentospread.ResultTimeout] = deps.Metrics.Counter(`admission_limit_cuts_total{cause="timeout"}`)
+		l.cuts[pimentospread.ResultFailed] = deps.Metrics.Counter(`admission_limit_cuts_total{cause="fast failure"}`)
+	}
+	return l
 }
 
-// Configure replaces the services and splits the slots of their targets over the live hosts.
-func (l *Limiter) Configure(_ time.Time, services []Service, live []pimentospread.HostID, _ pimentospread.HostID) {
-	l.services = map[pimentospread.ServiceID][]*target{}
+// Configure replaces the services and splits the slots of their targets over
+// the live hosts. A target that appears after the first call starts cold. A
+// host that is not among the live ones has only the spare slot of each pool.
+func (l *Limiter) Configure(now time.Time, services []Service, live []pimentospread.HostID, self pimentospread.HostID) {
+	l.live, l.self = live, self
+	known := l.targets
+	l.targets = make(map[pimentospread.TargetID]*targetLimit, len(known))
+	for id, t := range known {
+		t.retired = true
+		if t.running > 0 {
+			l.targets[id] = t
+		}
+	}
+	placed := make(map[pimentospread.ServiceID]*placedService, len(services))
+	groups := map[pimentospread.TargetID]*group{}
 	for _, s := range services {
-		for _, t := range s.Targets {
-			g := l.targets[t.ID]
-			if g == nil {
-				g = &target{id: t.ID}
-				l.targets[t.ID] = g
-			}
-			g.limit = max(1, int(t.Slots)/max(1, len(live)))
-			g.closed = t.State == pool.Draining
-			l.services[s.ID] = append(l.services[s.ID], g)
+		p := l.services[s.ID]
+		if p == nil {
+			p = &placedService{}
 		}
+		placed[s.ID] = p
+		p.group = l.configureGroup(now, s, groups, known)
 	}
+	l.services = placed
+	l.configured = true
 }
 
-// Pick takes a slot at the target with the fewest requests running.
-func (l *Limiter) Pick(_ time.Time, service pimentospread.ServiceID, excluded []pimentospread.TargetID) (pimentospread.TargetID, bool) {
-	var best *target
-	for _, g := range l.services[service] {
-		if g.closed || g.running >= g.limit || slices.Contains(excluded, g.id) {
-			continue
+// configureGroup returns the group of the service's targets. A target belongs
+// to one pool only, so the first target identifies the group of services that share it.
+func (l *Limiter) configureGroup(now time.Time, s Service, done map[pimentospread.TargetID]*group, known map[pimentospread.TargetID]*targetLimit) *group {
+	if len(s.Targets) == 0 {
+		return &group{}
+	}
+	if g := done[s.Targets[0].ID]; g != nil {
+		return g
+	}
+	g := &group{}
+	for _, t := range s.Targets {
+		if k := known[t.ID]; k != nil {
+			g = k.group
+			break
 		}
-		if best == nil || g.running < best.running {
-			best = g
+	}
+	g.coldStart, g.release, g.targets = s.ColdStart, s.Targets, nil
+	for _, t := range s.Targets {
+		done[t.ID] = g
+		g.targets = append(g.targets, l.configureTarget(now, t, g, known[t.ID]))
+	}
+	g.split(l.live, l.self)
+	for _, t := range g.targets {
+		if known[t.id] == nil {
+			t.limit = t.full()
 		}
 	}
-	if best == nil {
+	return g
+}
+
+func (l *Limiter) configureTarget(now time.Time, p pool.Target, g *group, t *targetLimit) *targetLimit {
+	if t == nil {
+		t = &targetLimit{id: p.ID, grownAt: now, usedAt: now, cold: l.configured, coldSince: now}
+	}
+	t.group, t.slots, t.retired = g, p.Slots, false
+	t.drainedByRelease = p.State == pool.Draining
+	l.targets[p.ID] = t
+	return t
+}
+
+// Pick takes a slot at a target of the service, none of the excluded ones.
+func (l *Limiter) Pick(now time.Time, service pimentospread.ServiceID, excluded []pimentospread.TargetID) (pimentospread.TargetID, bool) {
+	s := l.services[service]
+	if s == nil {
+		return 0, false
+	}
+	t := s.group.pick(now, excluded)
+	if t == nil {
 		return 0, false
 	}
-	best.running++
-	return best.id, true
+	t.start(now)
+	return t.id, true
 }
 
-// Finish gives the slot back.
-func (l *Limiter) Finish(_ time.Time, id pimentospread.TargetID, _ pimentospread.Result, _ time.Duration) {
-	if g := l.targets[id]; g != nil && g.running > 0 {
-		g.running--
+// Finish gives the slot back. A shed attempt, a timeout and a fast failure halve the limit.
+func (l *Limiter) Finish(now time.Time, id pimentospread.TargetID, result pimentospread.Result, took time.Duration) {
+	t := l.targets[id]
+	if t == nil {
+		return
+	}
+	t.stop(now)
+	if t.retired && t.running == 0 {
+		delete(l.targets, id)
+	}
+	if result == pimentospread.ResultCancelled {
+		return
 	}
+	g := t.group
+	g.history.add(result == pimentospread.ResultShed)
+	t.countFailure(result == pimentospread.ResultFailed)
+	switch {
+	case result == pimentospread.ResultShed, result == pimentospread.ResultTimeout,
+		result == pimentospread.ResultFailed && g.failsFast(t, took):
+		t.cut(now)
+		if n := l.cuts[result]; n != nil {
+			n.Add(1)
+		}
+		return
+	case result == pimentospread.ResultDone:
+		g.learnTook(took)
+	}
+	t.streak = 0
 }
 
-// Report takes what a target says of itself.
-func (l *Limiter) Report(_ time.Time, report pimentospread.LoadReport) {
-	if g := l.targets[report.Target]; g != nil {
-		g.closed = report.Draining || !report.Healthy
+// Report takes what a target says of itself. When a target opens or closes,
+// the slots of the pool are split again over the targets that take work.
+func (l *Limiter) Report(now time.Time, report pimentospread.LoadReport) {
+	t := l.targets[report.Target]
+	if t == nil || t.retired {
+		return
+	}
+	if t.report(now, report) {
+		t.group.split(l.live, l.self)
 	}
 }
 
-// AllowRetry takes a token of the service's retry budget. It reports false when none is left.
+// AllowRetry takes a token of the service's retry budget. It reports false
+// when none is left or when the pool sheds more than half of its attempts.
 func (l *Limiter) AllowRetry(_ time.Time, service pimentospread.ServiceID) bool {
-	if l.tenths[service] < 10 {
+	s := l.services[service]
+	if s == nil || s.group.history.overloaded() {
 		return false
 	}
-	l.tenths[service] -= 10
-	return true
+	return s.budget.take()
 }
 
 // Started adds to the service's retry budget for a first attempt.
-func (l *Limiter) Started(_ time.Time, service pimentospread.ServiceID) { l.tenths[service]++ }
+func (l *Limiter) Started(_ time.Time, service pimentospread.ServiceID) {
+	if s := l.services[service]; s != nil {
+		s.budget.earn()
+	}
+}
--- a/admission/main_test.go
+++ b/admission/main_test.go
@@ -61,3 +61,12 @@
 		Arrived: now, Deadline: now.Add(10 * time.Second),
 	}
 }
+
+// poolShapes are the pools of the two deployments, each on 8 hosts.
+var poolShapes = []struct {
+	name    string
+	targets int
+	slots   pimentospread.Slots
+}{
+	{"auction-desk 14x2", 14, 2}, {"cert-office 4x2", 4, 2}, {"watchdesk 14x3", 14, 3}, {"mapstore 4x3", 4, 3},
+}
