Add the CoAP codec of requests and answers

Cause: hosts, callers and targets exchange requests as CoAP messages, and the deciders know only the types of package request. Change: package coap decodes and encodes requests, attempts, answers, replies and cancels with go-coap's message packages. Every malformed message has a typed cause; a refusal can be sent when the header was read. Conclusion: only 5.03 counts as "not run"; from a host it must also have that payload.

--- /dev/null
+++ b/coap/reply.go
@@ -0,0 +1,94 @@
+package coap
+
+import (
+	"bytes"
+
+	"github.com/plgd-dev/go-coap/v3/message"
+	"github.com/plgd-dev/go-coap/v3/message/codes"
+
+	"pimentospread/request"
+)
+
+// notRun is the diagnostic payload of every 5.03 towards a caller.
+const notRun = "not run"
+
+// EncodeReply writes a reply to a caller. The first part of an answer to a
+// confirmable request is carried by the acknowledgement; all others are
+// messages of their own.
+func (e *Encoder) EncodeReply(r request.Reply) ([]byte, error) {
+	m := message.Message{Type: message.NonConfirmable, Token: r.Origin.Token, Payload: []byte(r.Reason)}
+	if r.Origin.Confirmable && r.Part.Number == 0 {
+		m.Type, m.MessageID = message.Acknowledgement, int32(r.Origin.MessageID)
+	} else {
+		m.MessageID = int32(e.messageID())
+	}
+	switch r.Outcome {
+	case request.Answered:
+		options, err := partOptions(r.Part)
+		if err != nil {
+			return nil, err
+		}
+		m.Code, m.Options, m.Payload = codes.Content, options, r.Part.Payload
+	case request.TargetFailed:
+		m.Code = codes.InternalServerError
+	case request.NotRun:
+		m.Code, m.Payload = codes.ServiceUnavailable, []byte(notRun)
+	case request.Unknown:
+		m.Code = codes.GatewayTimeout
+	case request.Malformed:
+		m.Code = codes.BadRequest
+	default:
+		return nil, failed("outcome %d has no response code", r.Outcome)
+	}
+	return e.write(m)
+}
+
+// DecodeReply reads a reply as a caller receives it. The Origin has only what
+// the message holds. The error is a Cause.
+func DecodeReply(data []byte) (request.Reply, error) {
+	m, err := parse(data)
+	if err != nil {
+		return request.Reply{}, err
+	}
+	if m.Code == codes.Empty {
+		return request.Reply{}, CauseEmpty
+	}
+	if m.Type == message.Reset {
+		return request.Reply{}, CauseType
+	}
+	if !isResponse(m.Code) {
+		return request.Reply{}, CauseCode
+	}
+	f, err := readOptions(m.Options)
+	if err != nil {
+		return request.Reply{}, err
+	}
+	r := request.Reply{Outcome: outcomeOf(m), Origin: request.Origin{
+		Token: bytes.Clone(m.Token), MessageID: uint16(m.MessageID), Confirmable: m.Type == message.Confirmable,
+	}}
+	if r.Outcome != request.Answered {
+		r.Reason = string(m.Payload)
+		return r, nil
+	}
+	r.Part = f.part
+	r.Part.Payload = bytes.Clone(m.Payload)
+	return r, nil
+}
+
+// outcomeOf is cautious: a code that does not say exactly "not run" leaves open whether the request ran.
+func outcomeOf(m message.Message) request.Outcome {
+	switch {
+	case m.Code>>5 == 2:
+		return request.Answered
+	case m.Code>>5 == 4:
+		return request.Malformed
+	case m.Code == codes.ServiceUnavailable && string(m.Payload) == notRun:
+		return request.NotRun
+	case m.Code == codes.ServiceUnavailable, m.Code == codes.GatewayTimeout:
+		return request.Unknown
+	case m.Code>>5 == 3:
+		return request.Unknown
+	default:
+		return request.TargetFailed
+	}
+}
