Carry idempotent requests and their answers

Cause: the design names a decider for requests; only its actions existed. The caller sees a tag of the host for each attempt, because targets choose their tags independently of each other. An idempotent request is never told "not run": another host may run it. Before: no code.

--- /dev/null
+++ b/decide/requests_answer.go
@@ -0,0 +1,124 @@
+package decide
+
+import (
+	"time"
+
+	"pimentospread"
+	"pimentospread/request"
+)
+
+// Answer takes one message of a target about an attempt.
+func (r *Requests) Answer(now time.Time, answer request.Answer, actions *RequestActions) {
+	a := r.attempts[answer.Attempt]
+	if a == nil {
+		actions.Drops = append(actions.Drops, DropUnknownAttempt)
+		return
+	}
+	if a.address != answer.From {
+		actions.Drops = append(actions.Drops, DropWrongTarget)
+		return
+	}
+	e := r.ledger.Find(a.request)
+	if a.withdrawn || e == nil || e.Attempt != answer.Attempt {
+		r.answerWithdrawn(now, answer, a, actions)
+		return
+	}
+	switch answer.Kind {
+	case request.Done:
+		r.answerPart(now, e, answer, actions)
+	case request.Shed:
+		r.answerShed(now, e, answer, actions)
+	default:
+		e.Error, e.Answer = answer.Part, request.Assembly{}
+		r.release(now, answer.Attempt, pimentospread.ResultFailed)
+		r.finish(now, e, request.TargetFailed, "target reports an error", actions)
+	}
+	r.dispatch(now, a.service, actions)
+}
+
+// answerWithdrawn frees the slot when the target is done with a withdrawn attempt.
+func (r *Requests) answerWithdrawn(now time.Time, answer request.Answer, a *running, actions *RequestActions) {
+	if answer.Kind == request.Done && answer.Part.More {
+		return
+	}
+	r.release(now, answer.Attempt, a.result)
+	r.dispatch(now, a.service, actions)
+}
+
+// answerPart passes a part on to the caller under the tag of the attempt.
+func (r *Requests) answerPart(now time.Time, e *request.Entry, answer request.Answer, actions *RequestActions) {
+	r.attempts[answer.Attempt].heard = now
+	part, added := e.Answer.Add(answer.Part)
+	if !added {
+		actions.Drops = append(actions.Drops, DropDuplicatePart)
+		return
+	}
+	for _, o := range e.Origins {
+		actions.Replies = append(actions.Replies, request.Reply{Origin: o, Outcome: request.Answered, Part: part})
+	}
+	if !e.Answer.Whole() {
+		return
+	}
+	r.release(now, answer.Attempt, pimentospread.ResultDone)
+	r.conclude(now, e, request.Answered, "")
+}
+
+// answerShed sends the request elsewhere: a target that shed it has not run it.
+func (r *Requests) answerShed(now time.Time, e *request.Entry, answer request.Answer, actions *RequestActions) {
+	if !e.Answer.Empty() {
+		actions.Drops = append(actions.Drops, DropContradiction)
+		return
+	}
+	r.release(now, answer.Attempt, pimentospread.ResultShed)
+	e.Attempt = 0
+	if now.Before(e.Request.Deadline) && r.deps.Placement.AllowRetry(now, e.Request.Service) {
+		r.statsOf(e).Retried++
+		r.enqueue(now, e, actions)
+		return
+	}
+	r.statsOf(e).Shed++
+	r.finish(now, e, e.Unsent(), "target refused before it started", actions)
+}
+
+// finish ends a request with an outcome other than an answer and tells the caller.
+func (r *Requests) finish(now time.Time, e *request.Entry, outcome request.Outcome, reason string, actions *RequestActions) {
+	r.conclude(now, e, outcome, reason)
+	for _, o := range e.Origins {
+		actions.Replies = append(actions.Replies, request.Reply{Origin: o, Outcome: outcome, Part: e.Error, Reason: reason})
+	}
+}
+
+// conclude records the outcome of a request.
+func (r *Requests) conclude(now time.Time, e *request.Entry, outcome request.Outcome, reason string) {
+	e.Stage, e.Outcome, e.Reason, e.Attempt = request.Finished, outcome, reason, 0
+	r.statsOf(e).conclude(now, e)
+}
+
+// expire ends a request whose deadline has passed, and frees its slots.
+func (r *Requests) expire(now time.Time, e *request.Entry, actions *RequestActions) {
+	switch e.Stage {
+	case request.Waiting:
+		r.deps.Admission.Remove(e.Request.ID)
+		r.finish(now, e, e.Unsent(), "deadline passed before the request was sent", actions)
+	case request.Running:
+		r.withdraw(e, pimentospread.ResultTimeout, actions)
+		r.finish(now, e, request.Unknown, "deadline passed without a whole answer", actions)
+	}
+	r.releaseExpired(now, e)
+}
+
+// cancel withdraws a request that its caller no longer wants. The caller is told nothing.
+func (r *Requests) cancel(now time.Time, e *request.Entry, actions *RequestActions) {
+	if e == nil {
+		actions.Drops = append(actions.Drops, DropUnknownCancel)
+		return
+	}
+	switch e.Stage {
+	case request.Waiting:
+		r.deps.Admission.Remove(e.Request.ID)
+		r.conclude(now, e, e.Unsent(), "cancelled by the caller")
+	case request.Running:
+		r.withdraw(e, pimentospread.ResultCancelled, actions)
+		r.conclude(now, e, request.Unknown, "cancelled by the caller")
+	}
+}
