Define the messages of claims and inquiries

Cause: package peer needs the types to decode, and the claims need them to talk. Change: Claim, ClaimReply, ClaimRelease, Inquiry and InquiryReply with tags and Validate; NewMessage constructs each by its kind. A claim names a round, so that a late release cannot free the grant of a later round. Before: no messages. Conclusion: messages are sent and received as pointers.

--- /dev/null
+++ b/request/message.go
@@ -0,0 +1,192 @@
+package request
+
+import (
+	"time"
+
+	"pimentospread"
+)
+
+// Kinds of the messages between the hosts that handle one request.
+const (
+	KindClaim        pimentospread.MessageKind = "Claim"
+	KindClaimReply   pimentospread.MessageKind = "ClaimReply"
+	KindClaimRelease pimentospread.MessageKind = "ClaimRelease"
+	KindInquiry      pimentospread.MessageKind = "Inquiry"
+	KindInquiryReply pimentospread.MessageKind = "InquiryReply"
+)
+
+// maxTokenLength is the longest CoAP token (RFC 7252, section 3).
+const maxTokenLength = 8
+
+// maxClaimRosters bounds the rosters that one claim names.
+const maxClaimRosters = 16
+
+// Owner is the run of a host that holds a grant.
+type Owner struct {
+	Host        pimentospread.HostID      `msgpack:"Host"`
+	Incarnation pimentospread.Incarnation `msgpack:"Incarnation"`
+}
+
+// Claim asks an elector for its grant. The claimant is the sender of the message.
+type Claim struct {
+	Request pimentospread.RequestID `msgpack:"Request"`
+	// Round numbers the claimant's tries for this request, from 1.
+	Round uint32 `msgpack:"Round"`
+	// Rosters are the versions whose electors the claimant asks, newest first.
+	Rosters  []pimentospread.ObjectVersion `msgpack:"Rosters"`
+	Deadline time.Time                     `msgpack:"Deadline"`
+}
+
+// Verdict is an elector's answer to a claim.
+type Verdict uint8
+
+// Verdicts of an elector.
+const (
+	// Granted means that the elector gives this request to no other claimant.
+	Granted Verdict = iota
+	// HeldByOther means that another claimant has the grant.
+	HeldByOther
+	// OtherRoster means that the elector goes by other rosters than the claim.
+	OtherRoster
+	// NotGranting means that the elector may have forgotten grants or may be cut off.
+	NotGranting
+	// OutOfTime means that the deadline has passed or is too far ahead.
+	OutOfTime
+)
+
+// ClaimReply is an elector's answer to a claim.
+type ClaimReply struct {
+	Request pimentospread.RequestID `msgpack:"Request"`
+	Round   uint32                  `msgpack:"Round"`
+	Verdict Verdict                 `msgpack:"Verdict"`
+	// Holder is set with HeldByOther.
+	Holder Owner `msgpack:"Holder"`
+}
+
+// ClaimRelease gives the grants of a round back. The claimant did not win it.
+type ClaimRelease struct {
+	Request pimentospread.RequestID `msgpack:"Request"`
+	Round   uint32                  `msgpack:"Round"`
+}
+
+// Inquiry asks the holder of a grant to reply to a transmission that another host received.
+type Inquiry struct {
+	Request pimentospread.RequestID `msgpack:"Request"`
+	Origin  Origin                  `msgpack:"Origin"`
+	// Cancelled says that the caller withdraws the request.
+	Cancelled bool `msgpack:"Cancelled"`
+}
+
+// Knowledge is what a host answers to an inquiry.
+type Knowledge uint8
+
+// Answers to an inquiry.
+const (
+	// NotOwned means that the host neither owns the request nor tries to.
+	NotOwned Knowledge = iota
+	// Undecided means that the host's claim is not decided.
+	Undecided
+	// Owned means that the host owns the request and replies to the transmission.
+	Owned
+)
+
+// InquiryReply answers an inquiry.
+type InquiryReply struct {
+	Request   pimentospread.RequestID `msgpack:"Request"`
+	Knowledge Knowledge               `msgpack:"Knowledge"`
+}
+
+// NewMessage returns an empty message of the kind to decode into. It reports
+// false for a kind that does not belong to this package.
+func NewMessage(kind pimentospread.MessageKind) (pimentospread.Message, bool) {
+	switch kind {
+	case KindClaim:
+		return &Claim{}, true
+	case KindClaimReply:
+		return &ClaimReply{}, true
+	case KindClaimRelease:
+		return &ClaimRelease{}, true
+	case KindInquiry:
+		return &Inquiry{}, true
+	case KindInquiryReply:
+		return &InquiryReply{}, true
+	}
+	return nil, false
+}
+
+// MessageKind returns KindClaim.
+func (*Claim) MessageKind() pimentospread.MessageKind { return KindClaim }
+
+// MessageKind returns KindClaimReply.
+func (*ClaimReply) MessageKind() pimentospread.MessageKind { return KindClaimReply }
+
+// MessageKind returns KindClaimRelease.
+func (*ClaimRelease) MessageKind() pimentospread.MessageKind { return KindClaimRelease }
+
+// MessageKind returns KindInquiry.
+func (*Inquiry) MessageKind() pimentospread.MessageKind { return KindInquiry }
+
+// MessageKind returns KindInquiryReply.
+func (*InquiryReply) MessageKind() pimentospread.MessageKind { return KindInquiryReply }
+
+// Validate returns an error when the claim names no round, roster or deadline.
+func (c *Claim) Validate() error {
+	switch {
+	case c.Round == 0:
+		return invalid("claim has no round")
+	case len(c.Rosters) == 0 || len(c.Rosters) > maxClaimRosters:
+		return invalid("claim names %d rosters, not 1 to %d", len(c.Rosters), maxClaimRosters)
+	case c.Deadline.IsZero():
+		return invalid("claim has no deadline")
+	}
+	for i, v := range c.Rosters {
+		if v == 0 || i > 0 && v >= c.Rosters[i-1] {
+			return invalid("rosters of the claim do not fall: %v", c.Rosters)
+		}
+	}
+	return nil
+}
+
+// Validate returns an error when the reply has no round, an unknown verdict or no holder where it needs one.
+func (c *ClaimReply) Validate() error {
+	switch {
+	case c.Round == 0:
+		return invalid("claim reply has no round")
+	case c.Verdict > OutOfTime:
+		return invalid("verdict %d of the claim reply is unknown", c.Verdict)
+	case c.Verdict == HeldByOther && c.Holder.Host == "":
+		return invalid("claim reply names no holder")
+	}
+	return nil
+}
+
+// Validate returns an error when the release has no round.
+func (c *ClaimRelease) Validate() error {
+	if c.Round == 0 {
+		return invalid("claim release has no round")
+	}
+	return nil
+}
+
+// Validate returns an error when the origin cannot be replied to.
+func (i *Inquiry) Validate() error {
+	if !i.Origin.Caller.IsValid() || !i.Origin.Service.IsValid() {
+		return invalid("origin of the inquiry has no addresses")
+	}
+	if len(i.Origin.Token) > maxTokenLength {
+		return invalid("token of the inquiry has %d bytes, more than %d", len(i.Origin.Token), maxTokenLength)
+	}
+	return nil
+}
+
+// Validate returns an error when the knowledge is unknown.
+func (i *InquiryReply) Validate() error {
+	if i.Knowledge > Owned {
+		return invalid("knowledge %d of the inquiry reply is unknown", i.Knowledge)
+	}
+	return nil
+}
+
+func invalid(format string, args ...any) error {
+	return pimentospread.At(pimentospread.ErrInvalid.New(format, args...), "decode", "")
+}
