Add the messages about flows

Cause: package peer needs every message type of the flow part by its kind. Change: seven batched messages with compact record and flow lists, checks after decoding, and the split of a message over the shards of a host. Batch numbers modulo the sender's shards bring replies back to the asking shard.

--- /dev/null
+++ b/flow/message.go
@@ -0,0 +1,118 @@
+package flow
+
+import (
+	"pimentospread"
+)
+
+// Kinds of the messages about flows.
+const (
+	KindRecordPut        pimentospread.MessageKind = "RecordPut"
+	KindRecordPutReply   pimentospread.MessageKind = "RecordPutReply"
+	KindRecordQuery      pimentospread.MessageKind = "RecordQuery"
+	KindRecordQueryReply pimentospread.MessageKind = "RecordQueryReply"
+	KindRecordHandover   pimentospread.MessageKind = "RecordHandover"
+	KindSilenceQuery     pimentospread.MessageKind = "SilenceQuery"
+	KindSilenceReply     pimentospread.MessageKind = "SilenceReply"
+)
+
+// Message is a message about flows that checks itself after it was decoded.
+type Message interface {
+	pimentospread.Message
+	// Validate returns an error when the content cannot come from a sound host.
+	Validate() error
+	// Split returns the part of the message for each shard, nil where there is none.
+	Split(shards int) []pimentospread.Message
+}
+
+// Kinds returns a constructor for each kind of message about flows.
+func Kinds() map[pimentospread.MessageKind]func() Message {
+	return map[pimentospread.MessageKind]func() Message{
+		KindRecordPut:        func() Message { return &RecordPut{} },
+		KindRecordPutReply:   func() Message { return &RecordPutReply{} },
+		KindRecordQuery:      func() Message { return &RecordQuery{} },
+		KindRecordQueryReply: func() Message { return &RecordQueryReply{} },
+		KindRecordHandover:   func() Message { return &RecordHandover{} },
+		KindSilenceQuery:     func() Message { return &SilenceQuery{} },
+		KindSilenceReply:     func() Message { return &SilenceReply{} },
+	}
+}
+
+// Batch numbers a message that expects replies. The number modulo the sender's
+// shards is the shard that sent it, so that the replies find their way back.
+// Zero expects no reply.
+type Batch uint32
+
+// RecordPut asks a holder to keep the target of new flows.
+type RecordPut struct {
+	Batch Batch `msgpack:"Batch"`
+	// Force replaces what the holder has. It settles two records of one flow.
+	Force   bool    `msgpack:"Force,omitempty"`
+	Records Records `msgpack:"Records"`
+}
+
+// RecordPutReply answers a part of a RecordPut or RecordHandover.
+type RecordPutReply struct {
+	Batch Batch `msgpack:"Batch"`
+	// Count is the number of records that this reply covers.
+	Count uint32 `msgpack:"Count"`
+	// Conflicts are the records that the holder had already, with another target.
+	Conflicts Records `msgpack:"Conflicts,omitempty"`
+}
+
+// RecordQuery asks a holder for the targets of flows.
+type RecordQuery struct {
+	Batch Batch `msgpack:"Batch"`
+	Flows IDs   `msgpack:"Flows"`
+}
+
+// RecordQueryReply answers a part of a RecordQuery. Flows without a record are left out.
+type RecordQueryReply struct {
+	Batch   Batch   `msgpack:"Batch"`
+	Count   uint32  `msgpack:"Count"`
+	Records Records `msgpack:"Records,omitempty"`
+}
+
+// RecordHandover gives records to a holder that keeps them if it has none of its own.
+type RecordHandover struct {
+	Batch   Batch   `msgpack:"Batch"`
+	Records Records `msgpack:"Records,omitempty"`
+	// Suspended are targets whose buckets may have records because the targets were avoided.
+	Suspended []pimentospread.TargetID `msgpack:"Suspended,omitempty"`
+}
+
+// SilenceQuery asks whether an answer packet of the flows was seen.
+type SilenceQuery struct {
+	Batch Batch `msgpack:"Batch"`
+	// Within is the number of seconds to look back.
+	Within uint32 `msgpack:"Within"`
+	Flows  IDs    `msgpack:"Flows"`
+}
+
+// SilenceReply answers a part of a SilenceQuery.
+type SilenceReply struct {
+	Batch Batch  `msgpack:"Batch"`
+	Count uint32 `msgpack:"Count"`
+	// Seen are the flows of which an answer packet was seen.
+	Seen IDs `msgpack:"Seen,omitempty"`
+}
+
+// MessageKind returns the name of the message.
+func (*RecordPut) MessageKind() pimentospread.MessageKind { return KindRecordPut }
+
+// MessageKind returns the name of the message.
+func (*RecordPutReply) MessageKind() pimentospread.MessageKind { return KindRecordPutReply }
+
+// MessageKind returns the name of the message.
+func (*RecordQuery) MessageKind() pimentospread.MessageKind { return KindRecordQuery }
+
+// MessageKind returns the name of the message.
+func (*RecordQueryReply) MessageKind() pimentospread.MessageKind { return KindRecordQueryReply }
+
+// MessageKind returns the name of the message.
+func (*RecordHandover) MessageKind() pimentospread.MessageKind { return KindRecordHandover }
+
+// MessageKind returns the name of the message.
+func (*SilenceQuery) MessageKind() pimentospread.MessageKind { return KindSilenceQuery }
+
+// MessageKind returns the name of the message.
+func (*SilenceReply) MessageKind() pimentospread.MessageKind { return KindSilenceReply }
--- a/flow/record.go
+++ b/flow/record.go
@@ -1,10 +1,105 @@
 package flow
 
-import "pimentospread"
+import (
+	"encoding/binary"
 
-// Record says which target holds a flow that the table does not give to it.
+	"github.com/vmihailenco/msgpack/v5"
+
+	"pimentospread"
+)
+
+// Minutes is the age of a record.
+type Minutes uint8
+
+// Record says which target holds a flow that the table may not give to it.
 type Record struct {
-	Flow    pimentospread.FlowID    `msgpack:"Flow"`
-	Service pimentospread.ServiceID `msgpack:"Service"`
-	Target  pimentospread.TargetID  `msgpack:"Target"`
+	Flow    pimentospread.FlowID
+	Service pimentospread.ServiceID
+	Target  pimentospread.TargetID
+	// Age is the time since the flow was last known to be in use.
+	Age Minutes
+}
+
+// Records are encoded as one binary string, because field names would take
+// more of the control budget than the content. A record takes 11 bytes while
+// the service and the target are below 128.
+type Records []Record
+
+// IDs are encoded as one binary string of 8 bytes each.
+type IDs []pimentospread.FlowID
+
+// EncodeMsgpack writes the compact form.
+func (r Records) EncodeMsgpack(e *msgpack.Encoder) error {
+	b := make([]byte, 0, 12*len(r))
+	for _, x := range r {
+		b = binary.BigEndian.AppendUint64(b, uint64(x.Flow))
+		b = binary.AppendUvarint(b, uint64(x.Service))
+		b = binary.AppendUvarint(b, uint64(x.Target))
+		b = append(b, byte(x.Age))
+	}
+	return e.EncodeBytes(b)
+}
+
+// DecodeMsgpack reads the compact form.
+func (r *Records) DecodeMsgpack(d *msgpack.Decoder) error {
+	b, err := d.DecodeBytes()
+	if err != nil {
+		return err
+	}
+	list := make(Records, 0, len(b)/11)
+	for len(b) > 0 {
+		x, rest, ok := decodeRecord(b)
+		if !ok {
+			return pimentospread.At(pimentospread.ErrInvalid.New("record of %d bytes is cut off or out of range", len(b)), "decode", "")
+		}
+		list, b = append(list, x), rest
+	}
+	*r = list
+	return nil
+}
+
+func decodeRecord(b []byte) (Record, []byte, bool) {
+	if len(b) < 8 {
+		return Record{}, nil, false
+	}
+	x := Record{Flow: pimentospread.FlowID(binary.BigEndian.Uint64(b))}
+	b = b[8:]
+	service, n := binary.Uvarint(b)
+	if n <= 0 || service > uint64(pimentospread.MaxServiceID) {
+		return Record{}, nil, false
+	}
+	b = b[n:]
+	target, n := binary.Uvarint(b)
+	if n <= 0 || target > 1<<32-1 || len(b) == n {
+		return Record{}, nil, false
+	}
+	x.Service, x.Target = pimentospread.ServiceID(service), pimentospread.TargetID(target)
+	x.Age = Minutes(b[n])
+	return x, b[n+1:], true
+}
+
+// EncodeMsgpack writes the compact form.
+func (f IDs) EncodeMsgpack(e *msgpack.Encoder) error {
+	b := make([]byte, 0, 8*len(f))
+	for _, id := range f {
+		b = binary.BigEndian.AppendUint64(b, uint64(id))
+	}
+	return e.EncodeBytes(b)
+}
+
+// DecodeMsgpack reads the compact form.
+func (f *IDs) DecodeMsgpack(d *msgpack.Decoder) error {
+	b, err := d.DecodeBytes()
+	if err != nil {
+		return err
+	}
+	if len(b)%8 != 0 {
+		return pimentospread.At(pimentospread.ErrInvalid.New("flow list of %d bytes is not a multiple of 8", len(b)), "decode", "")
+	}
+	list := make(IDs, 0, len(b)/8)
+	for ; len(b) > 0; b = b[8:] {
+		list = append(list, pimentospread.FlowID(binary.BigEndian.Uint64(b)))
+	}
+	*f = list
+	return nil
 }
--- /dev/null
+++ b/flow/validate.go
@@ -0,0 +1,91 @@
+package flow
+
+import (
+	"github.com/joomcode/errorx"
+
+	"pimentospread"
+)
+
+// Validate returns an error when the content cannot come from a sound host.
+func (m *RecordPut) Validate() error { return m.Records.validate(KindRecordPut) }
+
+// Validate returns an error when the content cannot come from a sound host.
+func (m *RecordPutReply) Validate() error {
+	if err := validateReply(KindRecordPutReply, m.Batch, m.Count, len(m.Conflicts)); err != nil {
+		return err
+	}
+	return m.Conflicts.validate(KindRecordPutReply)
+}
+
+// Validate returns an error when the content cannot come from a sound host.
+func (m *RecordQuery) Validate() error {
+	return validateQuery(KindRecordQuery, m.Batch, len(m.Flows))
+}
+
+// Validate returns an error when the content cannot come from a sound host.
+func (m *RecordQueryReply) Validate() error {
+	if err := validateReply(KindRecordQueryReply, m.Batch, m.Count, len(m.Records)); err != nil {
+		return err
+	}
+	return m.Records.validate(KindRecordQueryReply)
+}
+
+// Validate returns an error when the content cannot come from a sound host.
+func (m *RecordHandover) Validate() error {
+	for _, t := range m.Suspended {
+		if t == 0 {
+			return invalid(KindRecordHandover, "names target 0 as suspended")
+		}
+	}
+	return m.Records.validate(KindRecordHandover)
+}
+
+// Validate returns an error when the content cannot come from a sound host.
+func (m *SilenceQuery) Validate() error {
+	if m.Within == 0 {
+		return invalid(KindSilenceQuery, "looks back 0 seconds")
+	}
+	return validateQuery(KindSilenceQuery, m.Batch, len(m.Flows))
+}
+
+// Validate returns an error when the content cannot come from a sound host.
+func (m *SilenceReply) Validate() error {
+	return validateReply(KindSilenceReply, m.Batch, m.Count, len(m.Seen))
+}
+
+func (r Records) validate(kind pimentospread.MessageKind) error {
+	for _, x := range r {
+		if x.Target == 0 {
+			return invalid(kind, "has flow %016x without a target", uint64(x.Flow))
+		}
+		if x.Service > pimentospread.MaxServiceID {
+			return invalid(kind, "has service %d, which is above %d", x.Service, pimentospread.MaxServiceID)
+		}
+	}
+	return nil
+}
+
+func validateQuery(kind pimentospread.MessageKind, batch Batch, flows int) error {
+	if batch == 0 {
+		return invalid(kind, "asks without a batch number")
+	}
+	if flows == 0 {
+		return invalid(kind, "asks for no flow")
+	}
+	return nil
+}
+
+func validateReply(kind pimentospread.MessageKind, batch Batch, count uint32, listed int) error {
+	if batch == 0 {
+		return invalid(kind, "answers no batch")
+	}
+	if uint64(listed) > uint64(count) {
+		return invalid(kind, "lists %d flows but covers %d", listed, count)
+	}
+	return nil
+}
+
+func invalid(kind pimentospread.MessageKind, format string, args ...any) *errorx.Error {
+	err := pimentospread.ErrInvalid.New(string(kind)+" "+format, args...)
+	return pimentospread.At(err, "validate", "")
+}
