--- /dev/null
+++ b/peer/network.go
@@ -0,0 +1,182 @@
+// Package peer carries messages between the hosts of a cell over TCP, encoded
+// with msgpack in length-prefixed frames.
+package peer
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"maps"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"pimentospread"
+	"pimentospread/duty"
+	"pimentospread/ring"
+)
+
+// Inbox takes the messages that arrive. ring.Ring and a router over several rings implement it.
+type Inbox interface {
+	Put(ctx context.Context, message pimentospread.Inbound) error
+}
+
+// Deps are what a Network needs.
+type Deps struct {
+	Self        pimentospread.HostID
+	Incarnation pimentospread.Incarnation
+	// Listener accepts the connections of peers. Run closes it.
+	Listener net.Listener
+	Registry Registry
+	Inbox    Inbox
+	Metrics  pimentospread.Metrics
+	Log      *slog.Logger
+	// Queue is the number of messages that wait for one peer. Zero means 1024.
+	Queue int
+	// FirstDelay and LastDelay bound the pause between two dials of a peer.
+	// Zero means 50 ms and 2 s.
+	FirstDelay, LastDelay time.Duration
+	// Deadline bounds one dial or one write. Zero means 2 s, after which the
+	// cell counts the peer as dead in any case.
+	Deadline time.Duration
+}
+
+// Network implements pimentospread.PeerNetwork.
+type Network struct {
+	deps    Deps
+	metrics *metrics
+	// changes has room for one set: only the newest set of peers counts.
+	changes *ring.Ring[map[pimentospread.HostID]netip.AddrPort]
+	// links is replaced as a whole by the duty that owns the set of peers.
+	links atomic.Pointer[map[pimentospread.HostID]*link]
+}
+
+var _ pimentospread.PeerNetwork = (*Network)(nil)
+
+// NewNetwork returns a network without peers.
+func NewNetwork(d Deps) *Network {
+	if d.Queue == 0 {
+		d.Queue = 1024
+	}
+	if d.FirstDelay == 0 {
+		d.FirstDelay = 50 * time.Millisecond
+	}
+	if d.LastDelay == 0 {
+		d.LastDelay = 2 * time.Second
+	}
+	if d.Deadline == 0 {
+		d.Deadline = 2 * time.Second
+	}
+	n := &Network{
+		deps:    d,
+		metrics: newMetrics(d.Metrics, d.Registry),
+		changes: ring.New[map[pimentospread.HostID]netip.AddrPort](1, ring.DropOldest),
+	}
+	n.links.Store(&map[pimentospread.HostID]*link{})
+	return n
+}
+
+// SetPeers replaces the set of peers. It does not wait for connections.
+func (n *Network) SetPeers(ctx context.Context, peers map[pimentospread.HostID]netip.AddrPort) error {
+	return n.changes.Put(ctx, maps.Clone(peers))
+}
+
+// Send queues a message for a peer and does not wait for its delivery.
+func (n *Network) Send(ctx context.Context, m pimentospread.Outbound) error {
+	l, ok := (*n.links.Load())[m.To]
+	if !ok {
+		n.metrics.dropped("no_peer")
+		return pimentospread.At(pimentospread.ErrNotFound.New("host is not a peer"), "send", string(m.To))
+	}
+	return l.queue.Put(ctx, m.Message)
+}
+
+// Refused returns how many messages each peer's queue has dropped.
+func (n *Network) Refused() map[pimentospread.HostID]uint64 {
+	refused := map[pimentospread.HostID]uint64{}
+	for id, l := range *n.links.Load() {
+		refused[id] = l.queue.Refused()
+	}
+	return refused
+}
+
+// Run accepts and dials until the context ends, and then joins all its duties.
+func (n *Network) Run(ctx context.Context) error {
+	g := duty.NewGroup(ctx, n.deps.Log)
+	stop := context.AfterFunc(g.Context(), func() { _ = n.deps.Listener.Close() })
+	defer stop()
+	g.Go("peer accept", func(ctx context.Context) error { return n.accept(ctx, g) })
+	g.Go("peer set", func(ctx context.Context) error { return n.manage(ctx, g) })
+	return g.Wait()
+}
+
+// manage owns the set of peers.
+func (n *Network) manage(ctx context.Context, g *duty.Group) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case want := <-n.changes.Items():
+			n.change(g, want)
+		}
+	}
+}
+
+func (n *Network) change(g *duty.Group, want map[pimentospread.HostID]netip.AddrPort) {
+	held := *n.links.Load()
+	next := make(map[pimentospread.HostID]*link, len(want))
+	for id, address := range want {
+		if id == n.deps.Self {
+			continue
+		}
+		if l, ok := held[id]; ok && l.address == address {
+			next[id] = l
+			continue
+		}
+		ctx, stop := context.WithCancel(g.Context())
+		l := newLink(n, id, address, stop)
+		next[id] = l
+		g.Go("peer send "+string(id), func(context.Context) error { return l.run(ctx) })
+	}
+	n.links.Store(&next)
+	for id, l := range held {
+		if next[id] != l {
+			l.stop()
+		}
+	}
+}
+
+// accept starts a receiving duty for each connection.
+func (n *Network) accept(ctx context.Context, g *duty.Group) error {
+	delay := n.deps.FirstDelay
+	for {
+		c, err := n.deps.Listener.Accept()
+		if errors.Is(err, net.ErrClosed) || ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			// The process may be short of file descriptors for a while.
+			n.deps.Log.Warn("accept from peers failed", "error", err)
+			if !pause(ctx, delay) {
+				return nil
+			}
+			delay = min(2*delay, n.deps.LastDelay)
+			continue
+		}
+		delay = n.deps.FirstDelay
+		g.Go("peer receive", func(ctx context.Context) error { return n.receive(ctx, c) })
+	}
+}
+
+// pause waits. It reports false when the context ends first.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
