Add the control cell, its duty and the target prober

Cause: the deciders need the view of their cell, and the host needs its members. Change: member.Members holds roster, liveness and ranks; control.Cell follows releases, health and repair as events and actions; control.Controller is the duty around it.

--- /dev/null
+++ b/control/cell.go
@@ -0,0 +1,238 @@
+// Package control owns what a host knows of its cell: the members, the release
+// in force and the health of targets. It makes the view by which the deciders
+// act. Cell decides and does no input or output; Controller is the duty around it.
+package control
+
+import (
+	"maps"
+	"time"
+
+	"pimentospread"
+	"pimentospread/decide"
+	"pimentospread/member"
+)
+
+// Times of the dissemination.
+const (
+	// pausedAfter is the time without a tick after which peers may have gone on without this host.
+	pausedAfter = member.DeadAfter
+	// repairInterval is the shortest time between two queries, so that many hosts
+	// that are behind after a partition do not flood those that are not.
+	repairInterval = time.Second
+	// announceInterval is the time between two announcements to peers that are silent.
+	announceInterval = 5 * time.Second
+	// digestInterval is the shortest time between two queries because of flags that differ.
+	digestInterval = 5 * time.Second
+	// readInterval is the time between two readings of a platform that did not answer a starting host.
+	readInterval = 2 * time.Second
+)
+
+// Config is what a host knows of itself at its start.
+type Config struct {
+	Self        member.Host
+	Incarnation pimentospread.Incarnation
+	// Seeds are hosts that are asked when the platform does not answer.
+	Seeds []member.Host
+	// Deciders is the number of duties that load views.
+	Deciders int
+}
+
+// Cell is the aggregate of the control state of a host. Events go in, actions
+// come out; the time is an argument.
+type Cell struct {
+	config   Config
+	members  *member.Members
+	sequence uint64
+	lastTick time.Time
+	watching bool
+	// known are the peers that were last handed out as the set of peers.
+	known   map[pimentospread.HostID]member.Host
+	release generations
+	start   startup
+	repair  repair
+	health  health
+	loading loading
+	view    *decide.View
+	leaving bool
+}
+
+// startup is how far a starting host has come.
+type startup struct {
+	// asked is the time of the last reading of the platform, which has answered or failed since.
+	asked            time.Time
+	answered, failed bool
+	// replied says that a peer has answered a query.
+	replied bool
+	// joined stays true once the host was ready.
+	joined bool
+}
+
+// NewCell returns the cell as a host knows it at its start.
+func NewCell(now time.Time, c Config) *Cell {
+	return &Cell{
+		config:  c,
+		members: member.NewMembers(now, c.Self, c.Seeds),
+		health:  newHealth(c.Incarnation),
+		loading: newLoading(c.Deciders),
+	}
+}
+
+// Handle takes an event and returns what is to be done.
+func (c *Cell) Handle(now time.Time, e Event) Actions {
+	var a Actions
+	c.notePause(now, &a)
+	switch e := e.(type) {
+	case HeartbeatReceived:
+		c.members.Hear(now, e.From, e.Incarnation, e.Heartbeat)
+		c.fetch(now, &a)
+	case QueryReceived:
+		c.answer(now, e, &a)
+	case ReplyReceived:
+		c.learn(now, e, &a)
+	case ReleaseRead:
+		c.accept(e.Content, &a)
+	case RosterRead:
+		c.members.Offer(now, e.Roster, member.Roster{}, 0)
+	case PlatformRead:
+		c.start.answered = c.start.answered || e.Answered
+		c.start.failed = !e.Answered
+	case TablesBuilt:
+		c.built(e, &a)
+	case ViewLoaded:
+		c.loading.loaded(e)
+	case TargetProbed:
+		c.health.probed(e)
+		a.Reports = append(a.Reports, e.report())
+	case Tick:
+		c.tick(now, &a)
+	case Leave:
+		c.leaving = true
+	}
+	c.advance(now, &a)
+	return a
+}
+
+// Ready reports whether the host takes new work.
+func (c *Cell) Ready() bool { return c.start.joined && !c.leaving }
+
+// Active returns the generation by which the host sends new flows.
+func (c *Cell) Active() pimentospread.Generation { return c.release.active }
+
+// Held returns the newest generation that the host has.
+func (c *Cell) Held() pimentospread.Generation { return c.release.held.generation() }
+
+// RosterVersion returns the version of the roster in force.
+func (c *Cell) RosterVersion() pimentospread.ObjectVersion {
+	r, _, _ := c.members.Roster()
+	return r.Version
+}
+
+// notePause finds out that the host did not run for a while, before anything is decided with an old state.
+func (c *Cell) notePause(now time.Time, a *Actions) {
+	if c.lastTick.IsZero() || now.Sub(c.lastTick) < pausedAfter {
+		return
+	}
+	c.members.Resume(now, c.lastTick)
+	c.lastTick = now
+	a.Anomalies = append(a.Anomalies, AnomalyPaused)
+}
+
+func (c *Cell) tick(now time.Time, a *Actions) {
+	c.lastTick = now
+	c.members.Expire(now)
+	c.readPlatform(now, a)
+	c.watch(now, a)
+	c.probe(now, a)
+	c.announce(now, a)
+	c.fetch(now, a)
+	c.beat(now, a)
+}
+
+// readPlatform reads the platform until it has answered once or the host is ready without it.
+func (c *Cell) readPlatform(now time.Time, a *Actions) {
+	first := c.start.asked.IsZero()
+	again := c.start.failed && now.Sub(c.start.asked) >= readInterval
+	if c.start.answered || c.start.joined || !first && !again {
+		return
+	}
+	c.start.asked = now
+	a.ReadPlatform = true
+}
+
+// watch follows the choice of relays. A host that does not know yet who is alive does not watch.
+func (c *Cell) watch(now time.Time, a *Actions) {
+	on := !c.leaving && c.members.Settled(now) && c.members.Relay(now)
+	if on == c.watching {
+		return
+	}
+	c.watching = on
+	a.Watch = &WatchChange{On: on}
+}
+
+// beat sends the heartbeat to every known peer.
+func (c *Cell) beat(now time.Time, a *Actions) {
+	c.sequence++
+	h := &member.Heartbeat{
+		Sequence:      c.sequence,
+		Held:          c.release.held.generation(),
+		Prepared:      c.release.prepared,
+		Active:        c.release.active,
+		Digest:        c.digest(),
+		RosterVersion: c.RosterVersion(),
+		Ready:         c.Ready(),
+		Leaving:       c.leaving,
+		Down:          c.health.down,
+		Draining:      c.health.draining,
+		ListVersion:   c.health.version,
+		Acknowledged:  c.acknowledged(now),
+	}
+	for _, p := range c.members.Peers() {
+		a.Messages = append(a.Messages, pimentospread.Outbound{To: p.Host.ID, Message: h})
+	}
+}
+
+// advance does what the new state allows.
+func (c *Cell) advance(now time.Time, a *Actions) {
+	c.changePeers(a)
+	c.activate(now)
+	c.join(now)
+	c.publish(now, a)
+	// When every decider has prepared the generation before its view came, the view counts at once.
+	if c.activate(now) {
+		c.join(now)
+		c.publish(now, a)
+	}
+}
+
+// join makes the host ready when it has what its peers and the platform have.
+func (c *Cell) join(now time.Time) {
+	if c.start.joined || c.release.active == 0 || !c.members.Settled(now) {
+		return
+	}
+	alive := c.members.Alive(now)
+	if !c.start.answered && (!c.start.failed || len(alive) == 0) {
+		return
+	}
+	if len(alive) > 0 && !c.start.replied {
+		return
+	}
+	for _, p := range alive {
+		if p.Heartbeat.Held > c.release.active {
+			return
+		}
+	}
+	c.start.joined = c.release.active == c.release.held.generation()
+}
+
+// changePeers hands out the set of peers when it has changed.
+func (c *Cell) changePeers(a *Actions) {
+	known := map[pimentospread.HostID]member.Host{}
+	for _, p := range c.members.Peers() {
+		known[p.Host.ID] = p.Host
+	}
+	if c.known != nil && maps.Equal(known, c.known) {
+		return
+	}
+	c.known = known
+	a.Peers = c.members.Addresses()
+}
--- /dev/null
+++ b/control/content.go
@@ -0,0 +1,99 @@
+package control
+
+import (
+	"bytes"
+	"compress/flate"
+	"encoding/json"
+	"io"
+
+	"github.com/cespare/xxhash/v2"
+
+	"pimentospread"
+	"pimentospread/release"
+)
+
+// maxContent is the platform's limit for a value.
+const maxContent = 1 << 20
+
+// Content is a release together with the bytes under which hosts pass it on.
+type Content struct {
+	Release *release.Release
+	// Packed is the compressed JSON. A release is mostly repeated field names, and
+	// the control traffic of a host is bounded.
+	Packed []byte
+	// Digest is a hash of the JSON without insignificant white space.
+	Digest uint64
+}
+
+// DecodeFunc reads the JSON of a release.
+type DecodeFunc func(data []byte) (*release.Release, error)
+
+// Pack makes the content of the platform's JSON.
+func Pack(data []byte, decode DecodeFunc) (*Content, error) {
+	const step = "pack release"
+	var compact bytes.Buffer
+	if err := json.Compact(&compact, data); err != nil {
+		return nil, pimentospread.At(pimentospread.ErrInvalid.Wrap(err, "release is not JSON"), step, "")
+	}
+	r, err := decode(compact.Bytes())
+	if err != nil {
+		return nil, err
+	}
+	var packed bytes.Buffer
+	w, err := flate.NewWriter(&packed, flate.DefaultCompression)
+	if err != nil {
+		return nil, pimentospread.At(pimentospread.ErrInvalid.Wrap(err, "compression is not available"), step, "")
+	}
+	if _, err := w.Write(compact.Bytes()); err != nil {
+		return nil, pimentospread.At(pimentospread.ErrInvalid.Wrap(err, "release cannot be compressed"), step, "")
+	}
+	if err := w.Close(); err != nil {
+		return nil, pimentospread.At(pimentospread.ErrInvalid.Wrap(err, "release cannot be compressed"), step, "")
+	}
+	return &Content{Release: r, Packed: packed.Bytes(), Digest: xxhash.Sum64(compact.Bytes())}, nil
+}
+
+// Unpack reads the content that a peer has packed.
+func Unpack(packed []byte, decode DecodeFunc) (*Content, error) {
+	const step = "unpack release"
+	r := flate.NewReader(bytes.NewReader(packed))
+	defer func() { _ = r.Close() }()
+	data, err := io.ReadAll(io.LimitReader(r, maxContent+1))
+	if err != nil {
+		return nil, pimentospread.At(pimentospread.ErrInvalid.Wrap(err, "release cannot be decompressed"), step, "")
+	}
+	if len(data) > maxContent {
+		return nil, pimentospread.At(pimentospread.ErrInvalid.New("release is longer than %d bytes", maxContent), step, "")
+	}
+	decoded, err := decode(data)
+	if err != nil {
+		return nil, err
+	}
+	return &Content{Release: decoded, Packed: packed, Digest: xxhash.Sum64(data)}, nil
+}
+
+// generation returns the generation of the content, or zero without one.
+func (c *Content) generation() pimentospread.Generation {
+	if c == nil {
+		return 0
+	}
+	return c.Release.Generation
+}
+
+// digest returns the digest of the content, or zero without one.
+func (c *Content) digest() uint64 {
+	if c == nil {
+		return 0
+	}
+	return c.Digest
+}
+
+// supersedes orders contents by generation. The platform gives a generation to
+// one publisher only; should two contents have the same one all the same, the
+// digest decides, so that all hosts end with the same content.
+func (c *Content) supersedes(other *Content) bool {
+	if c.generation() != other.generation() {
+		return c.generation() > other.generation()
+	}
+	return c.digest() > other.digest()
+}
--- /dev/null
+++ b/control/controller.go
@@ -0,0 +1,235 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"pimentospread"
+	"pimentospread/decide"
+	"pimentospread/duty"
+	"pimentospread/member"
+	"pimentospread/pool"
+	"pimentospread/ring"
+)
+
+const (
+	eventCapacity = 1024
+	// probeWorkers is the number of probes that can wait for an answer at the same
+	// time. Targets that do not answer must not delay the probes of the others.
+	probeWorkers  = 8
+	probeCapacity = 256
+	// loadsPerDecider is far above the views that can be under way to a decider.
+	loadsPerDecider = 64
+)
+
+// Network sends messages to peers and follows the set of peers. peer.Network implements it.
+type Network interface {
+	pimentospread.PeerNetwork
+	// SetPeers replaces the set of peers.
+	SetPeers(ctx context.Context, peers map[pimentospread.HostID]netip.AddrPort) error
+}
+
+// Deps are what a Controller needs.
+type Deps struct {
+	Config Config
+	// Cell is the name of the release and of the roster in the platform.
+	Cell     pimentospread.Cell
+	Clock    pimentospread.Clock
+	Platform pimentospread.Platform
+	Network  Network
+	Prober   pimentospread.Prober
+	Decode   DecodeFunc
+	// Inbox has the messages of this package and the heartbeats.
+	Inbox *ring.Ring[pimentospread.Inbound]
+	// Views has one ring for each decider, in the order of ViewLoaded.Decider. Only
+	// the newest view counts, so they drop the oldest.
+	Views []*ring.Ring[*decide.View]
+	// Reports takes what targets say of themselves; nil when nobody wants it.
+	Reports *ring.Ring[pimentospread.LoadReport]
+	Metrics pimentospread.Metrics
+	Log     *slog.Logger
+}
+
+// Controller is the duty that owns the cell.
+type Controller struct {
+	deps   Deps
+	events *ring.Ring[Event]
+	loads  *ring.Ring[ViewLoaded]
+	builds *ring.Ring[*Build]
+	probes []*ring.Ring[pool.Target]
+	// latest is what other duties may see of the state.
+	latest  atomic.Pointer[decide.View]
+	invalid pimentospread.Counter
+}
+
+// NewController returns the duty of a host's control state.
+func NewController(d Deps) *Controller {
+	d.Config.Deciders = len(d.Views)
+	c := &Controller{
+		deps:    d,
+		events:  ring.New[Event](eventCapacity, ring.Wait),
+		loads:   ring.New[ViewLoaded](loadsPerDecider*max(1, len(d.Views)), ring.DropOldest),
+		builds:  ring.New[*Build](1, ring.DropOldest),
+		invalid: d.Metrics.Counter(`control_releases_invalid_total`),
+	}
+	for range probeWorkers {
+		c.probes = append(c.probes, ring.New[pool.Target](probeCapacity, ring.DropOldest))
+	}
+	c.latest.Store(&decide.View{})
+	d.Metrics.Gauge("control_generation", func() float64 { return float64(c.latest.Load().Generation()) })
+	d.Metrics.Gauge("control_live_hosts", func() float64 { return float64(len(c.latest.Load().Live)) })
+	d.Metrics.Gauge("control_flagged_targets", func() float64 { return float64(len(c.latest.Load().Flagged)) })
+	return c
+}
+
+// Constructors returns the constructors of the messages that the controller takes.
+func Constructors() map[pimentospread.MessageKind]func() pimentospread.Message {
+	return map[pimentospread.MessageKind]func() pimentospread.Message{
+		member.KindHeartbeat: func() pimentospread.Message { return &member.Heartbeat{} },
+		KindReleaseQuery:     func() pimentospread.Message { return &ReleaseQuery{} },
+		KindReleaseReply:     func() pimentospread.Message { return &ReleaseReply{} },
+	}
+}
+
+// Loaded tells that a decider goes by a view. It does not wait.
+func (c *Controller) Loaded(ctx context.Context, e ViewLoaded) error { return c.loads.Put(ctx, e) }
+
+// Leave starts the shutdown: the host is no longer ready and says so to its peers.
+func (c *Controller) Leave(ctx context.Context) error { return c.events.Put(ctx, Leave{}) }
+
+// Latest returns the newest view. It has no release before the first one was prepared.
+func (c *Controller) Latest() *decide.View { return c.latest.Load() }
+
+// Run owns the cell until the context ends, and joins the duties that work for it.
+func (c *Controller) Run(ctx context.Context) error {
+	g := duty.NewGroup(ctx, c.deps.Log)
+	g.Go("control", func(ctx context.Context) error { return c.own(ctx, g) })
+	g.Go("control build", c.build)
+	for i, r := range c.probes {
+		g.Go(fmt.Sprintf("control probe %d", i), func(ctx context.Context) error { return c.probe(ctx, r) })
+	}
+	return g.Wait()
+}
+
+func (c *Controller) own(ctx context.Context, g *duty.Group) error {
+	cell := NewCell(c.deps.Clock.Now(), c.deps.Config)
+	ticker := time.NewTicker(member.HeartbeatInterval)
+	defer ticker.Stop()
+	w := watches{controller: c, group: g}
+	for {
+		var e Event
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			e = Tick{}
+		case e = <-c.events.Items():
+		case l := <-c.loads.Items():
+			e = l
+		case m := <-c.deps.Inbox.Items():
+			if e = c.decode(m); e == nil {
+				continue
+			}
+		}
+		a := cell.Handle(c.deps.Clock.Now(), e)
+		w.follow(a)
+		c.act(ctx, a)
+	}
+}
+
+// decode makes an event of a message. It returns nil for one that has none.
+func (c *Controller) decode(in pimentospread.Inbound) Event {
+	switch m := in.Message.(type) {
+	case *member.Heartbeat:
+		return HeartbeatReceived{From: in.From, Incarnation: in.Incarnation, Heartbeat: *m}
+	case *ReleaseQuery:
+		return QueryReceived{From: in.From, Query: *m}
+	case *ReleaseReply:
+		e := ReplyReceived{From: in.From, Reply: *m}
+		if len(m.Content) == 0 {
+			return e
+		}
+		content, err := Unpack(m.Content, c.deps.Decode)
+		if err != nil {
+			c.invalid.Add(1)
+			c.deps.Log.Error("release of a peer is not valid", "peer", in.From, "error", err)
+			return nil
+		}
+		e.Content = content
+		return e
+	default:
+		c.deps.Log.Error("message is not for the control duty", "peer", in.From, "kind", in.Message.MessageKind())
+		return nil
+	}
+}
+
+// act carries the actions out that do not concern the platform. A ring that
+// refuses counts it, and each of these actions comes again or is repaired.
+func (c *Controller) act(ctx context.Context, a Actions) {
+	if a.Peers != nil {
+		_ = c.deps.Network.SetPeers(ctx, a.Peers)
+	}
+	for _, m := range a.Messages {
+		_ = c.deps.Network.Send(ctx, m)
+	}
+	if a.Build != nil {
+		_ = c.builds.Put(ctx, a.Build)
+	}
+	if a.View != nil {
+		c.show(ctx, a.View)
+	}
+	for _, t := range a.Probes {
+		_ = c.probes[int(t.ID)%len(c.probes)].Put(ctx, t)
+	}
+	for _, r := range a.Reports {
+		if c.deps.Reports != nil {
+			_ = c.deps.Reports.Put(ctx, r)
+		}
+	}
+	for _, n := range a.Anomalies {
+		c.deps.Metrics.Counter(fmt.Sprintf("control_anomalies_total{kind=%q}", n)).Add(1)
+		c.deps.Log.Warn("anomaly", "kind", n, "generation", c.latest.Load().Generation())
+	}
+}
+
+func (c *Controller) show(ctx context.Context, v *decide.View) {
+	if last := c.latest.Load(); last.Generation() != v.Generation() || last.Active != v.Active || last.Ready != v.Ready {
+		c.deps.Log.Info("view changed", "generation", v.Generation(), "active", v.Active, "ready", v.Ready, "live", len(v.Live))
+	}
+	c.latest.Store(v)
+	for _, r := range c.deps.Views {
+		_ = r.Put(ctx, v)
+	}
+}
+
+// build makes tables, which takes longer than a heartbeat may wait.
+func (c *Controller) build(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case b := <-c.builds.Items():
+			_ = c.events.Put(ctx, b.Run())
+		}
+	}
+}
+
+// probe asks the targets of its ring one after the other.
+func (c *Controller) probe(ctx context.Context, r *ring.Ring[pool.Target]) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case t := <-r.Items():
+			report, err := c.deps.Prober.Probe(ctx, t.HealthAddress)
+			if err != nil {
+				c.deps.Log.Debug("probe failed", "target", t.Name, "error", err)
+			}
+			_ = c.events.Put(ctx, TargetProbed{Target: t.ID, Report: report, Heard: err == nil})
+		}
+	}
+}
--- /dev/null
+++ b/control/repair.go
@@ -0,0 +1,151 @@
+package control
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"pimentospread"
+	"pimentospread/member"
+)
+
+// repair limits how often a host asks.
+type repair struct {
+	asked     time.Time
+	announced time.Time
+	// attempts counts the queries, so that the next one goes to another peer.
+	attempts int
+}
+
+// fetch asks one peer for what this host lacks.
+func (c *Cell) fetch(now time.Time, a *Actions) {
+	since := now.Sub(c.repair.asked)
+	if !c.repair.asked.IsZero() && since < repairInterval {
+		return
+	}
+	ahead := c.ahead(now)
+	if len(ahead) == 0 && !c.repair.asked.IsZero() && since >= digestInterval {
+		ahead = c.differing(now)
+	}
+	if len(ahead) == 0 {
+		return
+	}
+	c.repair.asked = now
+	c.repair.attempts++
+	a.Messages = append(a.Messages, pimentospread.Outbound{To: c.choose(ahead), Message: c.query(false)})
+}
+
+// ahead returns the live peers that have what this host lacks: the newest
+// release, a newer roster, or for a starting host the flags, which are in no heartbeat.
+func (c *Cell) ahead(now time.Time) []*member.Peer {
+	var releases, rosters []*member.Peer
+	alive := c.members.Alive(now)
+	newest := c.release.held.generation()
+	for _, p := range alive {
+		if p.Heartbeat.Held > newest {
+			newest, releases = p.Heartbeat.Held, nil
+		}
+		if p.Heartbeat.Held == newest && newest > c.release.held.generation() {
+			releases = append(releases, p)
+		}
+		if p.Heartbeat.RosterVersion > c.members.NewestRoster() {
+			rosters = append(rosters, p)
+		}
+	}
+	switch {
+	case len(releases) > 0:
+		return releases
+	case len(rosters) > 0:
+		return rosters
+	case !c.start.replied:
+		return alive
+	default:
+		return nil
+	}
+}
+
+// differing returns the live peers that have the same generation and another digest.
+func (c *Cell) differing(now time.Time) []*member.Peer {
+	var differing []*member.Peer
+	digest := c.digest()
+	for _, p := range c.members.Alive(now) {
+		if p.Heartbeat.Held == c.release.held.generation() && p.Heartbeat.Digest != digest {
+			differing = append(differing, p)
+		}
+	}
+	return differing
+}
+
+// choose spreads queries over the peers. Peers in the own failure domain go
+// first, so that a release crosses between two domains few times.
+func (c *Cell) choose(peers []*member.Peer) pimentospread.HostID {
+	var near []*member.Peer
+	for _, p := range peers {
+		if p.Host.FailureDomain == c.config.Self.FailureDomain {
+			near = append(near, p)
+		}
+	}
+	if len(near) > 0 && c.repair.attempts%3 != 0 {
+		peers = near
+	}
+	first := xxhash.Sum64String(string(c.config.Self.ID))
+	return peers[(first+uint64(c.repair.attempts))%uint64(len(peers))].Host.ID
+}
+
+// announce makes this host known to peers from which it hears nothing. They may
+// have no roster that lists it.
+func (c *Cell) announce(now time.Time, a *Actions) {
+	interval := announceInterval
+	if !c.start.joined {
+		interval = repairInterval
+	}
+	if !c.repair.announced.IsZero() && now.Sub(c.repair.announced) < interval {
+		return
+	}
+	c.repair.announced = now
+	for _, p := range c.members.Peers() {
+		if !p.Alive(now) {
+			a.Messages = append(a.Messages, pimentospread.Outbound{To: p.Host.ID, Message: c.query(true)})
+		}
+	}
+}
+
+func (c *Cell) query(announce bool) *ReleaseQuery {
+	return &ReleaseQuery{
+		Generation:    c.release.held.generation(),
+		Digest:        c.release.held.digest(),
+		RosterVersion: c.members.NewestRoster(),
+		Announce:      announce,
+		Sender:        c.config.Self,
+	}
+}
+
+// answer gives a peer what it lacks.
+func (c *Cell) answer(now time.Time, e QueryReceived, a *Actions) {
+	if e.Query.Sender.ID != e.From {
+		return
+	}
+	c.members.Admit(now, e.Query.Sender)
+	if e.Query.Announce {
+		return
+	}
+	reply := &ReleaseReply{Flags: c.health.lingering()}
+	held := c.release.held
+	newer := held.generation() > e.Query.Generation || held.generation() == e.Query.Generation && held.digest() > e.Query.Digest
+	if held != nil && newer {
+		reply.Content = held.Packed
+	}
+	current, previous, changed := c.members.Roster()
+	if current.Version >= e.Query.RosterVersion && current.Version > 0 {
+		reply.Roster, reply.Previous, reply.Age = current, previous, now.Sub(changed)
+	}
+	a.Messages = append(a.Messages, pimentospread.Outbound{To: e.From, Message: reply})
+}
+
+// learn takes the answer of a peer.
+func (c *Cell) learn(now time.Time, e ReplyReceived, a *Actions) {
+	c.start.replied = true
+	c.members.Offer(now, e.Reply.Roster, e.Reply.Previous, e.Reply.Age)
+	c.health.merge(e.Reply.Flags)
+	c.accept(e.Content, a)
+}
--- /dev/null
+++ b/control/view.go
@@ -0,0 +1,63 @@
+package control
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"pimentospread/decide"
+)
+
+// publish hands out a view when it differs from the last one.
+func (c *Cell) publish(now time.Time, a *Actions) {
+	s := c.assess(now, a)
+	current, previous, changed := c.members.Roster()
+	g := &c.release
+	v := &decide.View{
+		Self:            c.config.Self.ID,
+		Incarnation:     c.config.Incarnation,
+		Services:        g.services,
+		Active:          g.active > 0 && g.active == g.inUse.generation(),
+		Live:            c.members.Working(now, c.Ready()),
+		Roster:          current,
+		PreviousRoster:  previous,
+		RosterChangedAt: changed,
+		Flagged:         s.flagged,
+		Avoided:         s.avoided,
+		Draining:        s.draining,
+		Ready:           c.Ready(),
+		Unsettled:       !c.start.joined || !c.members.Settled(now) || c.behind(now),
+		CutOff:          c.members.CutOff(now),
+		Leaving:         c.leaving,
+	}
+	if g.inUse != nil {
+		v.Release = g.inUse.Release
+		v.ByAddress = g.addresses
+	}
+	if c.view != nil && same(c.view, v) && maps.Equal(c.loading.last, s.lists) {
+		return
+	}
+	if c.view != nil {
+		v.Sequence = c.view.Sequence
+	}
+	v.Sequence++
+	c.view, a.View = v, v
+	c.loading.published(v.Sequence, s.lists)
+}
+
+// same reports whether two views say the same to the deciders. Services follow from the release.
+func same(a, b *decide.View) bool {
+	return a.Release == b.Release &&
+		a.Active == b.Active &&
+		a.Ready == b.Ready &&
+		a.Unsettled == b.Unsettled &&
+		a.CutOff == b.CutOff &&
+		a.Leaving == b.Leaving &&
+		a.Roster.Version == b.Roster.Version &&
+		a.PreviousRoster.Version == b.PreviousRoster.Version &&
+		a.RosterChangedAt.Equal(b.RosterChangedAt) &&
+		slices.Equal(a.Live, b.Live) &&
+		maps.Equal(a.Flagged, b.Flagged) &&
+		maps.Equal(a.Avoided, b.Avoided) &&
+		maps.Equal(a.Draining, b.Draining)
+}
--- /dev/null
+++ b/control/watch.go
@@ -0,0 +1,120 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"pimentospread"
+	"pimentospread/duty"
+	"pimentospread/member"
+)
+
+// Delays of a watch whose platform does not answer. The longest leaves two
+// seconds of the five in which a release must be in force after an outage.
+const (
+	firstWatchDelay = 250 * time.Millisecond
+	lastWatchDelay  = 3 * time.Second
+)
+
+// watches starts and stops the duties that wait for the platform.
+type watches struct {
+	controller *Controller
+	group      *duty.Group
+	stop       context.CancelFunc
+}
+
+func (w *watches) follow(a Actions) {
+	if a.ReadPlatform {
+		w.group.Go("platform read", w.controller.readPlatform)
+	}
+	if a.Watch == nil {
+		return
+	}
+	if w.stop != nil {
+		w.stop()
+		w.stop = nil
+	}
+	if !a.Watch.On {
+		return
+	}
+	ctx, stop := context.WithCancel(w.group.Context())
+	w.stop = stop
+	for _, kind := range []pimentospread.ObjectKind{pimentospread.KindRelease, pimentospread.KindRoster} {
+		w.group.Go("platform watch "+string(kind), func(context.Context) error {
+			return w.controller.watch(ctx, kind)
+		})
+	}
+}
+
+// readPlatform reads the release and the roster once. An object that does not exist is an answer.
+func (c *Controller) readPlatform(ctx context.Context) error {
+	answered := true
+	for _, kind := range []pimentospread.ObjectKind{pimentospread.KindRelease, pimentospread.KindRoster} {
+		o, err := c.deps.Platform.Get(ctx, c.key(kind))
+		switch {
+		case err == nil:
+			c.deliver(ctx, o)
+		case !errorx.IsOfType(err, pimentospread.ErrNotFound):
+			c.deps.Log.Warn("platform cannot be read", "kind", kind, "error", err)
+			answered = false
+		}
+	}
+	_ = c.events.Put(ctx, PlatformRead{Answered: answered})
+	return nil
+}
+
+// watch waits for changes of one object until the context ends.
+func (c *Controller) watch(ctx context.Context, kind pimentospread.ObjectKind) error {
+	var after pimentospread.ObjectVersion
+	delay := firstWatchDelay
+	for ctx.Err() == nil {
+		o, err := c.deps.Platform.Watch(ctx, c.key(kind), after)
+		switch {
+		case err == nil:
+			after, delay = o.Version, firstWatchDelay
+			c.deliver(ctx, o)
+			continue
+		case errorx.IsOfType(err, pimentospread.ErrTimeout):
+			delay = firstWatchDelay
+			continue
+		case ctx.Err() != nil:
+			return nil
+		}
+		c.deps.Log.Warn("watch of the platform failed", "kind", kind, "error", err)
+		t := time.NewTimer(delay)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+		case <-t.C:
+		}
+		delay = min(2*delay, lastWatchDelay)
+	}
+	return nil
+}
+
+func (c *Controller) key(kind pimentospread.ObjectKind) pimentospread.ObjectKey {
+	return pimentospread.ObjectKey{Kind: kind, Name: string(c.deps.Cell)}
+}
+
+// deliver makes an event of an object. An object that is not valid is refused
+// and the last valid one stays in force.
+func (c *Controller) deliver(ctx context.Context, o pimentospread.Object) {
+	e, err := c.read(o)
+	if err != nil {
+		c.invalid.Add(1)
+		c.deps.Log.Error("object of the platform is not valid", "kind", o.Kind, "version", o.Version, "error", err)
+		return
+	}
+	_ = c.events.Put(ctx, e)
+}
+
+func (c *Controller) read(o pimentospread.Object) (Event, error) {
+	if o.Kind == pimentospread.KindRoster {
+		r, err := member.DecodeRoster(o)
+		return RosterRead{Roster: r}, err
+	}
+	content, err := Pack(o.Value, c.deps.Decode)
+	return ReleaseRead{Content: content}, err
+}
--- a/decide/view.go
+++ b/decide/view.go
@@ -5,6 +5,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"pimentospread"
 	"pimentospread/member"
@@ -17,6 +18,8 @@
 // View is what the control duty tells the deciders about the cell. It is
 // never changed after it was handed over.
 type View struct {
+	// Sequence numbers the views of an incarnation. A decider reports it back when it has loaded the view.
+	Sequence    uint64
 	Self        pimentospread.HostID
 	Incarnation pimentospread.Incarnation
 	Release     *release.Release
@@ -30,10 +33,22 @@
 	Live []member.Candidate
 	// Roster and PreviousRoster are the platform's lists from which electors are chosen.
 	Roster, PreviousRoster member.Roster
+	// RosterChangedAt is the time at which Roster replaced PreviousRoster.
+	RosterChangedAt time.Time
 	// Flagged targets are reported down by at least one host.
 	Flagged map[pimentospread.TargetID]bool
 	// Avoided targets are down and every live peer has acknowledged the flag.
 	Avoided map[pimentospread.TargetID]bool
+	// Draining targets say of themselves that they want no new work. They are flagged too.
+	Draining map[pimentospread.TargetID]bool
+	// Ready says that this host takes work.
+	Ready bool
+	// Unsettled says that this host does not know what its peers have done: it has
+	// just started, was paused, or a peer sends new flows by a release that it has
+	// not prepared. Every bucket counts as changed and no claim is granted.
+	Unsettled bool
+	// CutOff says that no peer was heard for a while. No claim is granted.
+	CutOff bool
 	// Leaving says that this host is shutting down.
 	Leaving bool
 }
--- /dev/null
+++ b/member/members.go
@@ -0,0 +1,276 @@
+package member
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"pimentospread"
+)
+
+// Times of the membership. Every host of a cell must have the same.
+const (
+	// HeartbeatInterval is the time between two heartbeats to the same peer.
+	HeartbeatInterval = 500 * time.Millisecond
+	// DeadAfter is the silence after which a peer counts as dead. Three heartbeats may be lost.
+	DeadAfter = 2 * time.Second
+	// CutOffAfter is the silence of all peers after which a host grants no claim.
+	CutOffAfter = 3 * time.Second
+	// RosterHold is the shortest time between two changes of the roster. Claims are
+	// asked for under the two newest rosters, so a third one must not come before
+	// the claims of the first have ended: this is the longest lifetime of a request.
+	RosterHold = 10 * time.Second
+	// forgetAfter is the silence after which a host outside the roster is forgotten.
+	forgetAfter = 10 * time.Second
+)
+
+const (
+	relaysPerDomain  = 2
+	probersPerTarget = 2
+)
+
+// Members is the aggregate of the hosts of a cell as one host sees them: the
+// roster, hosts beside the roster, and who is alive.
+type Members struct {
+	self    Host
+	started time.Time
+	// resumed is the end of the last pause of this host; zero without one.
+	resumed time.Time
+	// heard is the time of the last heartbeat of any peer.
+	heard            time.Time
+	roster, previous Roster
+	changed          time.Time
+	// pending is a newer roster that waits for the end of RosterHold.
+	pending *Roster
+	peers   map[pimentospread.HostID]*Peer
+}
+
+// NewMembers returns the members as a host knows them at its start. The seeds
+// are hosts from its settings, which it asks when the platform does not answer.
+func NewMembers(now time.Time, self Host, seeds []Host) *Members {
+	m := &Members{self: self, started: now, heard: now, peers: map[pimentospread.HostID]*Peer{}}
+	for _, h := range seeds {
+		m.Admit(now, h)
+	}
+	return m
+}
+
+// Hear takes a heartbeat. It reports false when the sender is not known or the
+// heartbeat is older than the last one.
+func (m *Members) Hear(now time.Time, from pimentospread.HostID, incarnation pimentospread.Incarnation, h Heartbeat) bool {
+	p, ok := m.peers[from]
+	if !ok || !p.hear(now, incarnation, h) {
+		return false
+	}
+	m.heard = now
+	return true
+}
+
+// Admit adds a host that made itself known and that may be missing in the
+// roster, which lags. It is forgotten when it is silent and no roster has it.
+func (m *Members) Admit(now time.Time, h Host) {
+	if h.ID == m.self.ID {
+		return
+	}
+	p, known := m.peers[h.ID]
+	if !known {
+		p = &Peer{Host: h, admitted: now}
+		m.peers[h.ID] = p
+	}
+	if !m.listed(h.ID) {
+		p.Host = h
+	}
+}
+
+// listed says whether the newest roster has the host.
+func (m *Members) listed(id pimentospread.HostID) bool {
+	r := &m.roster
+	if m.pending != nil {
+		r = m.pending
+	}
+	_, ok := r.Find(id)
+	return ok
+}
+
+// Offer takes a roster of the platform or of a peer. A peer gives the roster
+// before it too, and how long ago it changed. An older one changes nothing.
+func (m *Members) Offer(now time.Time, r, previous Roster, age time.Duration) {
+	switch {
+	case r.Version == 0 || r.Version < m.NewestRoster():
+		return
+	case r.Version == m.roster.Version:
+		if m.previous.Version == 0 && previous.Version != 0 {
+			m.previous, m.changed = previous, now.Add(-age)
+		}
+		return
+	case m.previous.Version != 0 && now.Sub(m.changed) < RosterHold && previous.Version != m.roster.Version:
+		m.pending = &r
+		m.list(now, r)
+		return
+	}
+	m.adopt(now, r, previous, age)
+}
+
+func (m *Members) adopt(now time.Time, r, previous Roster, age time.Duration) {
+	if previous.Version == 0 {
+		previous, age = m.roster, 0
+	}
+	m.previous, m.roster, m.changed, m.pending = previous, r, now.Add(-age), nil
+	m.list(now, r)
+}
+
+// list takes the hosts of a roster over into the peers.
+func (m *Members) list(now time.Time, r Roster) {
+	for _, h := range r.Hosts {
+		if h.ID == m.self.ID {
+			continue
+		}
+		m.Admit(now, h)
+		m.peers[h.ID].Host = h
+	}
+}
+
+// Expire adopts a roster that has waited long enough and forgets silent hosts outside the roster.
+func (m *Members) Expire(now time.Time) {
+	if m.pending != nil && now.Sub(m.changed) >= RosterHold {
+		m.adopt(now, *m.pending, Roster{}, 0)
+	}
+	for id, p := range m.peers {
+		if !m.listed(id) && m.roster.Version != 0 && now.Sub(p.lastSign()) >= forgetAfter {
+			delete(m.peers, id)
+		}
+	}
+}
+
+// Resume notes that this host was paused. The peers that were alive before
+// count as alive again for DeadAfter, because their heartbeats could not be heard.
+func (m *Members) Resume(now, before time.Time) {
+	m.resumed = now
+	for _, p := range m.peers {
+		if p.Alive(before) {
+			p.Heard = now
+		}
+	}
+}
+
+// Settled reports whether the host knows who is alive: since its start or its
+// last pause it has heard every peer that could be alive, or DeadAfter has passed.
+func (m *Members) Settled(now time.Time) bool {
+	since := m.started
+	if m.resumed.After(since) {
+		since = m.resumed
+	}
+	if now.Sub(since) >= DeadAfter {
+		return true
+	}
+	if m.roster.Version == 0 {
+		return false
+	}
+	for _, p := range m.peers {
+		// After a pause only the peers that were alive before it are waited for.
+		expected := m.resumed.IsZero() || p.Alive(now)
+		if expected && !p.Heard.After(since) {
+			return false
+		}
+	}
+	return true
+}
+
+// CutOff reports whether the host has peers and has heard none of them for CutOffAfter.
+func (m *Members) CutOff(now time.Time) bool {
+	return len(m.peers) > 0 && now.Sub(m.heard) >= CutOffAfter
+}
+
+// Roster returns the roster in force, the one before it, and the time of the change.
+func (m *Members) Roster() (current, previous Roster, changed time.Time) {
+	return m.roster, m.previous, m.changed
+}
+
+// NewestRoster returns the version of the newest roster that the host has, in force or waiting.
+func (m *Members) NewestRoster() pimentospread.ObjectVersion {
+	if m.pending != nil {
+		return m.pending.Version
+	}
+	return m.roster.Version
+}
+
+// Peers returns all known peers, sorted.
+func (m *Members) Peers() []*Peer {
+	all := make([]*Peer, 0, len(m.peers))
+	for _, p := range m.peers {
+		all = append(all, p)
+	}
+	slices.SortFunc(all, func(a, b *Peer) int { return cmp.Compare(a.Host.ID, b.Host.ID) })
+	return all
+}
+
+// Peer returns a known peer.
+func (m *Members) Peer(id pimentospread.HostID) (*Peer, bool) {
+	p, ok := m.peers[id]
+	return p, ok
+}
+
+// Alive returns the peers that are alive, sorted. Leaving hosts and hosts that
+// are not ready are among them.
+func (m *Members) Alive(now time.Time) []*Peer {
+	all := m.Peers()
+	return slices.DeleteFunc(all, func(p *Peer) bool { return !p.Alive(now) })
+}
+
+// Addresses returns the peer address of each known peer.
+func (m *Members) Addresses() map[pimentospread.HostID]netip.AddrPort {
+	all := make(map[pimentospread.HostID]netip.AddrPort, len(m.peers))
+	for id, p := range m.peers {
+		all[id] = p.Host.PeerAddress
+	}
+	return all
+}
+
+// Working returns the hosts that take new work, sorted; this host is added when it is one of them.
+func (m *Members) Working(now time.Time, self bool) []Candidate {
+	var all []Candidate
+	for _, p := range m.Peers() {
+		if p.takesWork(now) {
+			all = append(all, Candidate{ID: p.Host.ID, FailureDomain: p.Host.FailureDomain})
+		}
+	}
+	if self {
+		all = append(all, Candidate{ID: m.self.ID, FailureDomain: m.self.FailureDomain})
+	}
+	slices.SortFunc(all, func(a, b Candidate) int { return cmp.Compare(a.ID, b.ID) })
+	return all
+}
+
+// present returns the hosts that are alive and do not leave, this host included.
+func (m *Members) present(now time.Time) []Candidate {
+	all := []Candidate{{ID: m.self.ID, FailureDomain: m.self.FailureDomain}}
+	for _, p := range m.peers {
+		if p.Alive(now) && !p.Heartbeat.Leaving {
+			all = append(all, Candidate{ID: p.Host.ID, FailureDomain: p.Host.FailureDomain})
+		}
+	}
+	return all
+}
+
+// Relay reports whether this host watches the platform for its failure domain.
+func (m *Members) Relay(now time.Time) bool {
+	domain := m.self.FailureDomain
+	hosts := slices.DeleteFunc(m.present(now), func(c Candidate) bool { return c.FailureDomain != domain })
+	return slices.Contains(Rank(xxhash.Sum64String("relay "+string(domain)), hosts, relaysPerDomain), m.self.ID)
+}
+
+// Probes returns those of the targets that this host probes.
+func (m *Members) Probes(now time.Time, targets []pimentospread.TargetID) []pimentospread.TargetID {
+	hosts := m.present(now)
+	var mine []pimentospread.TargetID
+	for _, t := range targets {
+		mac := t.HardwareAddress()
+		if slices.Contains(Rank(xxhash.Sum64(mac[:]), hosts, probersPerTarget), m.self.ID) {
+			mine = append(mine, t)
+		}
+	}
+	return mine
+}
--- /dev/null
+++ b/member/peer.go
@@ -0,0 +1,48 @@
+package member
+
+import (
+	"time"
+
+	"pimentospread"
+)
+
+// Peer is what a host knows of one other host.
+type Peer struct {
+	Host        Host
+	Incarnation pimentospread.Incarnation
+	// Heard is the time of the last heartbeat; zero before the first one.
+	Heard time.Time
+	// Heartbeat is the last heartbeat.
+	Heartbeat Heartbeat
+	admitted  time.Time
+}
+
+// lastSign is the time of the last heartbeat, or of the admission before the first one.
+func (p *Peer) lastSign() time.Time {
+	if p.Heard.IsZero() {
+		return p.admitted
+	}
+	return p.Heard
+}
+
+// hear takes a heartbeat. It reports false for one that is older than the last.
+func (p *Peer) hear(now time.Time, incarnation pimentospread.Incarnation, h Heartbeat) bool {
+	if incarnation < p.Incarnation {
+		return false
+	}
+	if incarnation == p.Incarnation && h.Sequence <= p.Heartbeat.Sequence {
+		return false
+	}
+	p.Incarnation, p.Heard, p.Heartbeat = incarnation, now, h
+	return true
+}
+
+// Alive reports whether the peer was heard recently enough.
+func (p *Peer) Alive(now time.Time) bool {
+	return !p.Heard.IsZero() && now.Sub(p.Heard) < DeadAfter
+}
+
+// takesWork says that the peer is ready and stays.
+func (p *Peer) takesWork(now time.Time) bool {
+	return p.Alive(now) && p.Heartbeat.Ready && !p.Heartbeat.Leaving
+}
--- a/peer/link.go
+++ b/peer/link.go
@@ -55,6 +55,7 @@
 	d := net.Dialer{Timeout: l.network.deps.Deadline}
 	c, err := d.DialContext(ctx, "tcp", l.address.String())
 	if err != nil {
+		l.discard()
 		return false, pimentospread.At(pimentospread.ErrUnavailable.Wrap(err, "peer does not accept"), "dial", string(l.peer))
 	}
 	defer func() { _ = c.Close() }()
@@ -75,6 +76,19 @@
 	return l.drain(ctx, c, ended)
 }
 
+// discard drops what waits for a peer that does not accept. Otherwise a peer
+// that returns after a long time gets a burst of old heartbeats.
+func (l *link) discard() {
+	for {
+		select {
+		case <-l.queue.Items():
+			l.network.metrics.dropped("unreachable")
+		default:
+			return
+		}
+	}
+}
+
 func (l *link) drain(ctx context.Context, c net.Conn, ended <-chan struct{}) (bool, error) {
 	w := bufio.NewWriter(c)
 	sent := false
--- a/peer/metrics.go
+++ b/peer/metrics.go
@@ -27,7 +27,7 @@
 	for _, c := range []Cause{CauseLength, CauseEnvelope, CauseKind, CauseBody, CauseInvalid} {
 		s.causes[c] = m.Counter(fmt.Sprintf("peer_malformed_total{cause=%q}", c))
 	}
-	for _, c := range []string{"no_peer", "encode", "inbox"} {
+	for _, c := range []string{"no_peer", "encode", "inbox", "unreachable"} {
 		s.drops[c] = m.Counter(fmt.Sprintf("peer_dropped_total{cause=%q}", c))
 	}
 	return s
