Decide claims on non-idempotent requests

Cause: a non-idempotent request must run at most once over all hosts. Change: package request gets the electors, the rosters that count, the grants of an elector and the campaign of a claimant; package decide asks, grants, gives back and inquires. An elector grants only while it hears half of each counted roster, and an older roster counts until more than half of its hosts have announced a newer one, because the time since the change alone says nothing about a host that has not heard of it. Before: non-idempotent requests ended unknown. Conclusion: not proved yet.

--- a/decide/requests.go
+++ b/decide/requests.go
@@ -16,6 +16,7 @@
 	DropWrongTarget    DropCause = "answer_wrong_target"
 	DropDuplicatePart  DropCause = "answer_duplicate_part"
 	DropContradiction  DropCause = "answer_contradiction"
+	DropStaleReply     DropCause = "peer_stale_reply"
 	DropUnknownMessage DropCause = "peer_unknown_message"
 )
 
@@ -39,7 +40,13 @@
 	ledger   *request.Ledger
 	attempts map[pimentospread.AttemptID]*running
 	stats    statistics
-	leaving  bool
+	elector  *request.Elector
+	// runs is the newest incarnation heard of each peer.
+	runs map[pimentospread.HostID]pimentospread.Incarnation
+	// kept is the size of the finished answers in the ledger.
+	kept pimentospread.Bytes
+	// seen is the time of the last event, and swept that of the last look through the grants.
+	seen, swept time.Time
 	// order is reused by dispatchAll.
 	order []pimentospread.ServiceID
 }
@@ -50,18 +57,23 @@
 		deps:     deps,
 		ledger:   request.NewLedger(),
 		attempts: map[pimentospread.AttemptID]*running{},
+		elector:  request.NewElector(deps.Self, deps.Started),
+		runs:     map[pimentospread.HostID]pimentospread.Incarnation{},
 		stats:    statistics{},
 	}
 }
 
 // Configure takes a new view of the cell.
 func (r *Requests) Configure(now time.Time, view *View, actions *RequestActions) {
+	r.notice(now)
 	r.view = view
+	r.elector.Configure(now, view.Roster, view.PreviousRoster, view.heard(), view.maxLifetime())
 	r.dispatchAll(now, actions)
 }
 
 // Arrive takes one transmission of a request from a caller.
 func (r *Requests) Arrive(now time.Time, q request.Request, actions *RequestActions) {
+	r.notice(now)
 	known := r.ledger.Find(q.ID)
 	switch {
 	case q.Cancelled:
@@ -76,6 +88,10 @@
 // repeat answers a further transmission of a known request with what is known by now.
 func (r *Requests) repeat(e *request.Entry, origin request.Origin, actions *RequestActions) {
 	e.AddOrigin(origin)
+	if e.Stage == request.Delegated {
+		r.inquire(e, e.Owner, actions)
+		return
+	}
 	actions.Replies = append(actions.Replies, e.Replies(origin)...)
 }
 
@@ -105,7 +121,7 @@
 		r.enqueue(now, e, actions)
 		return
 	}
-	r.finish(now, e, request.Unknown, "claims are not available", actions)
+	r.claim(now, e, actions)
 }
 
 // refuse returns why the request is malformed for the service, or an empty string.
@@ -126,13 +142,25 @@
 	r.deps.Placement.Report(now, report)
 }
 
-// Peer takes a message from another host.
-func (r *Requests) Peer(_ time.Time, _ pimentospread.Inbound, actions *RequestActions) {
-	actions.Drops = append(actions.Drops, DropUnknownMessage)
+// pausedAfter is the time without any event after which the host counts as
+// paused. Tick is called far more often.
+const pausedAfter = 2 * time.Second
+
+// notice sees whether the host was paused before this event.
+func (r *Requests) notice(now time.Time) {
+	if !r.seen.IsZero() && now.Sub(r.seen) >= pausedAfter {
+		r.elector.Resume(now)
+	}
+	r.seen = now
 }
 
-// Tick does what has become due.
+// Tick does what has become due. It is called at least twice a second.
 func (r *Requests) Tick(now time.Time, actions *RequestActions) {
+	r.notice(now)
+	if now.Sub(r.swept) >= time.Second {
+		r.elector.Expire(now)
+		r.swept = now
+	}
 	for {
 		e, due := r.ledger.Due(now)
 		if !due {
@@ -150,23 +178,50 @@
 func (r *Requests) wake(now time.Time, e *request.Entry, actions *RequestActions) {
 	switch {
 	case !now.Before(e.Request.Deadline.Add(request.Retention)):
-		r.ledger.Forget(e.Request.ID)
+		r.forget(e)
 	case !now.Before(e.Request.Deadline):
 		r.expire(now, e, actions)
 	case e.Stage == request.Running:
 		r.checkAttempt(now, e, actions)
+	case e.Stage == request.Claiming:
+		r.pursue(now, e, actions)
 	}
 }
 
-// Leave says that the host shuts down. What has arrived is still finished;
-// what the host no longer takes is decided by its readiness, not here.
+func (r *Requests) forget(e *request.Entry) {
+	if e.Stage == request.Finished {
+		r.kept -= e.Answer.Size()
+	}
+	r.ledger.Forget(e.Request.ID)
+}
+
+// Leave says that the host shuts down. What has arrived is still finished and
+// grants are still made; readiness keeps new work away, not this decider.
 func (r *Requests) Leave(now time.Time, actions *RequestActions) {
-	r.leaving = true
+	r.notice(now)
 	r.dispatchAll(now, actions)
 }
 
+// Close ends what is left when the time for leaving is over: requests that
+// were never sent are refused, and the outcome of the others is unknown.
+func (r *Requests) Close(now time.Time, actions *RequestActions) {
+	for _, e := range r.ledger.Unfinished() {
+		const reason = "host shuts down"
+		switch e.Stage {
+		case request.Claiming:
+			r.giveUp(now, e, actions)
+			r.finish(now, e, request.Unknown, reason, actions)
+		case request.Waiting:
+			r.deps.Admission.Remove(e.Request.ID)
+			r.finish(now, e, e.Unsent(), reason, actions)
+		default:
+			r.finish(now, e, request.Unknown, reason, actions)
+		}
+	}
+}
+
 // Idle says that no request is in progress, so that a leaving host may stop.
-func (r *Requests) Idle() bool { return r.ledger.Open() == 0 && len(r.attempts) == 0 }
+func (r *Requests) Idle() bool { return len(r.ledger.Unfinished()) == 0 && len(r.attempts) == 0 }
 
 func (r *Requests) service(id pimentospread.ServiceID) *ServiceView {
 	if r.view == nil {
@@ -174,3 +229,25 @@
 	}
 	return r.view.Services[id]
 }
+
+// maxLifetime returns the longest lifetime that a policy in force allows.
+func (v *View) maxLifetime() time.Duration {
+	var longest time.Duration
+	for _, s := range v.Services {
+		longest = max(longest, s.Policy.MaxLifetime.Duration)
+	}
+	return longest
+}
+
+// heard returns the roster versions that the heard peers announce. When the
+// control duty does not tell them, live hosts count as heard and announce none.
+func (v *View) heard() request.Held {
+	if v.RosterHeld != nil {
+		return v.RosterHeld
+	}
+	held := request.Held{}
+	for _, c := range v.Live {
+		held[c.ID] = 0
+	}
+	return held
+}
--- a/decide/requests_answer.go
+++ b/decide/requests_answer.go
@@ -92,11 +92,37 @@
 func (r *Requests) conclude(now time.Time, e *request.Entry, outcome request.Outcome, reason string) {
 	e.Stage, e.Outcome, e.Reason, e.Attempt = request.Finished, outcome, reason, 0
 	r.statsOf(e).conclude(now, e)
+	r.keep(e)
+}
+
+// maxKept bounds the finished answers that are kept for repetition. It leaves
+// most of a host's control memory of 256 MB to the rest.
+const maxKept pimentospread.Bytes = 64 << 20
+
+// keep accounts for the answer of a finished request. Without room for it an
+// idempotent request is forgotten, so that a repetition runs again.
+func (r *Requests) keep(e *request.Entry) {
+	size := e.Answer.Size()
+	if r.kept+size <= maxKept {
+		r.kept += size
+		return
+	}
+	e.Answer = request.Assembly{}
+	if e.Request.Idempotent {
+		r.ledger.Forget(e.Request.ID)
+		return
+	}
+	e.Outcome, e.Reason = request.Unknown, "answer is no longer kept"
 }
 
 // expire ends a request whose deadline has passed, and frees its slots.
 func (r *Requests) expire(now time.Time, e *request.Entry, actions *RequestActions) {
 	switch e.Stage {
+	case request.Claiming:
+		r.giveUp(now, e, actions)
+		r.finish(now, e, request.Unknown, "no majority of electors granted the request", actions)
+	case request.Delegated:
+		r.expireDelegated(e, actions)
 	case request.Waiting:
 		r.deps.Admission.Remove(e.Request.ID)
 		r.finish(now, e, e.Unsent(), "deadline passed before the request was sent", actions)
@@ -113,7 +139,15 @@
 		actions.Drops = append(actions.Drops, DropUnknownCancel)
 		return
 	}
+	e.Request.Cancelled = true
 	switch e.Stage {
+	case request.Claiming:
+		for _, holder := range r.giveUp(now, e, actions) {
+			r.inquire(e, holder, actions)
+		}
+		r.conclude(now, e, request.Unknown, "cancelled by the caller")
+	case request.Delegated:
+		r.inquire(e, e.Owner, actions)
 	case request.Waiting:
 		r.deps.Admission.Remove(e.Request.ID)
 		r.conclude(now, e, e.Unsent(), "cancelled by the caller")
--- a/decide/view.go
+++ b/decide/view.go
@@ -11,6 +11,7 @@
 	"pimentospread/policy"
 	"pimentospread/pool"
 	"pimentospread/release"
+	"pimentospread/request"
 	"pimentospread/service"
 )
 
@@ -30,6 +31,9 @@
 	Live []member.Candidate
 	// Roster and PreviousRoster are the platform's lists from which electors are chosen.
 	Roster, PreviousRoster member.Roster
+	// RosterHeld is the roster version that each heard peer announces, leaving
+	// peers included. Without it an older roster counts for two hours.
+	RosterHeld request.Held
 	// Flagged targets are reported down by at least one host.
 	Flagged map[pimentospread.TargetID]bool
 	// Avoided targets are down and every live peer has acknowledged the flag.
--- a/request/assembly.go
+++ b/request/assembly.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"slices"
+
+	"pimentospread"
 )
 
 // Assembly collects the parts of one run's answer. The zero value takes none.
@@ -73,3 +75,12 @@
 	slices.SortFunc(parts, func(x, y Part) int { return int(x.Number) - int(y.Number) })
 	return parts
 }
+
+// Size returns the payload of all parts.
+func (a *Assembly) Size() pimentospread.Bytes {
+	var size pimentospread.Bytes
+	for _, p := range a.parts {
+		size += pimentospread.Bytes(len(p.Payload))
+	}
+	return size
+}
--- /dev/null
+++ b/request/campaign.go
@@ -0,0 +1,140 @@
+package request
+
+import (
+	"slices"
+	"time"
+
+	"pimentospread"
+	"pimentospread/member"
+)
+
+const (
+	// resendAfter is well above the round trip between failure domains of a cell, about 2 ms.
+	resendAfter = 100 * time.Millisecond
+	// maxResends bounds the copies of a claim in one round.
+	maxResends = 2
+	// maxRounds bounds the bytes of a claim that cannot be won.
+	maxRounds = 8
+	// firstPause is the pause after the first lost round; it doubles with each round.
+	firstPause = 50 * time.Millisecond
+)
+
+// Campaign is a claimant's try to become the owner of a request, in rounds.
+type Campaign struct {
+	// Round is the number of the current or last round.
+	Round uint32
+	// Rosters are the versions that the round goes by.
+	Rosters []pimentospread.ObjectVersion
+	// Next is the time of the next resend or round.
+	Next    time.Time
+	open    bool
+	won     bool
+	resends int
+	sets    [][]pimentospread.HostID
+	votes   map[pimentospread.HostID]Verdict
+	holders []Owner
+}
+
+// Begin opens the next round under the rosters and returns its electors.
+func (c *Campaign) Begin(now time.Time, rosters []member.Roster, id pimentospread.RequestID) []pimentospread.HostID {
+	c.Round++
+	c.open, c.resends, c.Next = true, 0, now.Add(resendAfter)
+	c.Rosters, c.sets, c.holders = nil, nil, nil
+	c.votes = map[pimentospread.HostID]Verdict{}
+	for _, r := range rosters {
+		c.Rosters = append(c.Rosters, r.Version)
+		c.sets = append(c.sets, Electors(r, id))
+	}
+	return c.Silent()
+}
+
+// Vote counts an elector's verdict. A grant stands even when a copy of the
+// claim was refused before or after it, because only a release takes it back.
+func (c *Campaign) Vote(elector pimentospread.HostID, verdict Verdict, holder Owner) {
+	if _, voted := c.votes[elector]; voted && verdict != Granted {
+		return
+	}
+	c.votes[elector] = verdict
+	if verdict == HeldByOther && !slices.Contains(c.holders, holder) {
+		c.holders = append(c.holders, holder)
+	}
+}
+
+// Accepts says that the round is open.
+func (c *Campaign) Accepts(round uint32) bool { return c.open && c.Round == round }
+
+// Decide says whether the round is won, which closes it, or can no longer be won.
+func (c *Campaign) Decide() (won, lost bool) {
+	if !c.open {
+		return c.won, false
+	}
+	won = len(c.sets) > 0
+	for _, set := range c.sets {
+		granted, refused, majority := 0, 0, len(set)/2+1
+		for _, h := range set {
+			switch v, voted := c.votes[h]; {
+			case voted && v == Granted:
+				granted++
+			case voted:
+				refused++
+			}
+		}
+		won = won && granted >= majority
+		lost = lost || len(set)-refused < majority
+	}
+	c.open, c.won = !won, won
+	return won, lost
+}
+
+// Won says that the host owns the request.
+func (c *Campaign) Won() bool { return c != nil && c.won }
+
+// Silent returns the electors that have not voted in this round.
+func (c *Campaign) Silent() []pimentospread.HostID {
+	var silent []pimentospread.HostID
+	for _, set := range c.sets {
+		for _, h := range set {
+			if _, voted := c.votes[h]; !voted && !slices.Contains(silent, h) {
+				silent = append(silent, h)
+			}
+		}
+	}
+	return silent
+}
+
+// Resend returns the electors to ask again. It reports false when the round has been asked often enough.
+func (c *Campaign) Resend(now time.Time) ([]pimentospread.HostID, bool) {
+	if c.resends == maxResends {
+		return nil, false
+	}
+	c.resends++
+	c.Next = now.Add(resendAfter << c.resends)
+	return c.Silent(), true
+}
+
+// Open says that a round is not decided.
+func (c *Campaign) Open() bool { return c.open }
+
+// Abandon closes an open round. It returns the electors that may have granted it
+// and the other claimants that hold grants. Jitter is between 0 and 1 and keeps
+// competing claimants from meeting again.
+func (c *Campaign) Abandon(now time.Time, jitter float64) (grantors []pimentospread.HostID, holders []Owner) {
+	if !c.open {
+		return nil, c.holders
+	}
+	c.open = false
+	grantors = c.Silent()
+	for _, set := range c.sets {
+		for _, h := range set {
+			if v, voted := c.votes[h]; voted && v == Granted && !slices.Contains(grantors, h) {
+				grantors = append(grantors, h)
+			}
+		}
+	}
+	pause := firstPause << min(c.Round, maxRounds)
+	c.Next = now.Add(time.Duration(float64(pause) * (0.5 + jitter/2)))
+	return grantors, c.holders
+}
+
+// Spent says that no further round is worth its bytes.
+func (c *Campaign) Spent() bool { return c.Round >= maxRounds }
--- a/request/entry.go
+++ b/request/entry.go
@@ -50,13 +50,21 @@
 	// Outcome and Reason are set in the stage Finished.
 	Outcome Outcome
 	Reason  string
+	// Campaign is the claim of a non-idempotent request.
+	Campaign *Campaign
+	// Owner is the host that replies to a delegated request.
+	Owner Owner
 	// Error is the target's error for the outcome TargetFailed.
 	Error Part
 }
 
 // NewEntry returns the entry for the first transmission of a request.
 func NewEntry(now time.Time, r Request) *Entry {
-	return &Entry{Request: r, Arrived: now, Origins: []Origin{r.Origin}}
+	e := &Entry{Request: r, Arrived: now, Origins: []Origin{r.Origin}}
+	if !r.Idempotent {
+		e.Campaign = &Campaign{}
+	}
+	return e
 }
 
 // AddOrigin has the entry's replies sent to the origin as well. It reports
@@ -92,10 +100,10 @@
 // refused before it started. Only the owner of a non-idempotent request may say
 // that it was not run; an idempotent one may run at another host.
 func (e *Entry) Unsent() Outcome {
-	if e.Request.Idempotent {
-		return Unknown
+	if e.Campaign.Won() {
+		return NotRun
 	}
-	return NotRun
+	return Unknown
 }
 
 // Open says that this host still works on the request.
--- a/request/ledger.go
+++ b/request/ledger.go
@@ -1,7 +1,9 @@
 package request
 
 import (
+	"cmp"
 	"container/heap"
+	"slices"
 	"time"
 
 	"pimentospread"
@@ -35,14 +37,19 @@
 // Len returns the number of entries.
 func (l *Ledger) Len() int { return len(l.entries) }
 
-// Open returns how many requests this host still works on.
-func (l *Ledger) Open() int {
-	open := 0
+// Unfinished returns the requests on which this host still works, in the
+// order of their identifiers.
+func (l *Ledger) Unfinished() []*Entry {
+	var open []*Entry
 	for _, e := range l.entries {
 		if e.Open() {
-			open++
+			open = append(open, e)
 		}
 	}
+	slices.SortFunc(open, func(a, b *Entry) int {
+		x, y := a.Request.ID, b.Request.ID
+		return cmp.Or(cmp.Compare(x.Caller, y.Caller), cmp.Compare(x.Sequence, y.Sequence))
+	})
 	return open
 }
 
--- a/request/message.go
+++ b/request/message.go
@@ -59,7 +59,8 @@
 	Request pimentospread.RequestID `msgpack:"Request"`
 	Round   uint32                  `msgpack:"Round"`
 	Verdict Verdict                 `msgpack:"Verdict"`
-	// Holder is set with HeldByOther.
+	// Holder is the claimant that has the grant. It tells a reply to an earlier
+	// run of the claimant from one to this run.
 	Holder Owner `msgpack:"Holder"`
 }
 
@@ -154,7 +155,7 @@
 		return invalid("claim reply has no round")
 	case c.Verdict > OutOfTime:
 		return invalid("verdict %d of the claim reply is unknown", c.Verdict)
-	case c.Verdict == HeldByOther && c.Holder.Host == "":
+	case c.Verdict <= HeldByOther && c.Holder.Host == "":
 		return invalid("claim reply names no holder")
 	}
 	return nil
