--- a/decide/view.go
+++ b/decide/view.go
@@ -12,6 +12,7 @@
 	"pimentospread/policy"
 	"pimentospread/pool"
 	"pimentospread/release"
+	"pimentospread/request"
 	"pimentospread/service"
 )
 
@@ -35,6 +36,9 @@
 	Roster, PreviousRoster member.Roster
 	// RosterChangedAt is the time at which Roster replaced PreviousRoster.
 	RosterChangedAt time.Time
+	// RosterHeld is the roster version that each heard peer announces, leaving
+	// peers included. Without it an older roster counts for two hours.
+	RosterHeld request.Held
 	// Flagged targets are reported down by at least one host.
 	Flagged map[pimentospread.TargetID]bool
 	// Avoided targets are down and every live peer has acknowledged the flag.
