--- /dev/null
+++ b/command/root.go
@@ -0,0 +1,139 @@
+// Package command is the command line of pimentospread.
+package command
+
+import (
+	"context"
+	"errors"
+	"io"
+
+	"github.com/joomcode/errorx"
+	"github.com/urfave/cli/v3"
+
+	"pimentospread"
+	"pimentospread/operator"
+)
+
+// Exit codes of every command.
+const (
+	ExitDone    = 0
+	ExitFailed  = 1
+	ExitUsage   = 2
+	ExitRefused = 3
+	ExitLost    = 4
+)
+
+// Build is what the linker and the module tell of the program.
+type Build struct {
+	Version  string `json:"Version"`
+	Revision string `json:"Revision"`
+}
+
+// Deps are the dependencies of the command tree.
+type Deps struct {
+	Build  Build
+	Stdin  io.Reader
+	Stdout io.Writer
+	Stderr io.Writer
+	// Serve runs an entry host until the context ends.
+	Serve func(ctx context.Context, settings []byte) error
+}
+
+// errUsage marks an error in the use of the command line.
+var errUsage = pimentospread.Namespace.NewType("usage")
+
+// New returns the command tree.
+func New(deps Deps) *cli.Command {
+	c := commands{deps: deps}
+	return &cli.Command{
+		Name:                  "pimentospread",
+		Usage:                 "layer-4 load balancer",
+		EnableShellCompletion: true,
+		Writer:                deps.Stdout,
+		ErrWriter:             deps.Stderr,
+		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
+		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+			return errUsage.Wrap(err, "wrong use")
+		},
+		Description: "Exit codes: 0 done, 1 failed, 2 wrong use, 3 refused by a check, 4 lost a race.",
+		Commands: []*cli.Command{
+			c.serve(), c.apply(), c.check(), c.get(), c.watch(), c.rollback(), c.drain(),
+			c.status(), c.burn(), c.settings(), c.version(),
+		},
+	}
+}
+
+// ExitCode returns the exit code for the error of a command.
+func ExitCode(err error) int {
+	var problem operator.Problem
+	switch {
+	case err == nil:
+		return ExitDone
+	case errors.As(err, &problem) && problem.Kind == "invalid", errorx.IsOfType(err, pimentospread.ErrInvalid):
+		return ExitRefused
+	case errors.As(err, &problem) && problem.Kind == "conflict":
+		return ExitLost
+	case errorx.IsOfType(err, errUsage):
+		return ExitUsage
+	default:
+		return ExitFailed
+	}
+}
+
+type commands struct {
+	deps Deps
+}
+
+const (
+	flagHost       = "host"
+	flagToken      = "token"
+	flagOutput     = "output"
+	flagFile       = "file"
+	flagSettings   = "settings"
+	flagReplace    = "replace"
+	flagGeneration = "if-generation"
+	flagBy         = "by"
+	flagUndo       = "undo"
+	flagReference  = "reference"
+	flagAfter      = "after"
+)
+
+func hostFlag() cli.Flag {
+	return &cli.StringFlag{
+		Name: flagHost, Value: "http://127.0.0.1:8600", Sources: cli.EnvVars("PIMENTOSPREAD_HOST"),
+		Usage: "base URL of the administration API of any host of the cell",
+	}
+}
+
+func tokenFlag() cli.Flag {
+	return &cli.StringFlag{
+		Name: flagToken, Sources: cli.EnvVars("PIMENTOSPREAD_TOKEN"), Usage: "administration token",
+	}
+}
+
+func outputFlag() cli.Flag {
+	return &cli.StringFlag{
+		Name: flagOutput, Value: outputText, Usage: "text or json",
+		Validator: func(value string) error {
+			if value == outputText || value == outputJSON {
+				return nil
+			}
+			return errUsage.New("output %q is neither text nor json", value)
+		},
+	}
+}
+
+func fileFlag(usage string) cli.Flag {
+	return &cli.StringFlag{Name: flagFile, Aliases: []string{"f"}, Required: true, Usage: usage + "; - reads standard input"}
+}
+
+func changeFlags() []cli.Flag {
+	return []cli.Flag{
+		hostFlag(), tokenFlag(), outputFlag(),
+		&cli.Uint64Flag{Name: flagGeneration, Usage: "refuse unless this generation is in force"},
+		&cli.StringFlag{Name: flagBy, Value: "operator", Usage: "name shown to those who lose a race against this change"},
+	}
+}
+
+func client(c *cli.Command) *operator.Client {
+	return operator.NewClient(c.String(flagHost), c.String(flagToken))
+}
--- /dev/null
+++ b/command/show.go
@@ -0,0 +1,161 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/urfave/cli/v3"
+
+	"pimentospread"
+	"pimentospread/release"
+	"pimentospread/settings"
+)
+
+func (s commands) get() *cli.Command {
+	return &cli.Command{
+		Name:        "get",
+		Usage:       "print the objects in force at a host",
+		Description: "The JSON output can be changed and applied again.\n\nExample: pimentospread get --output json",
+		Flags:       []cli.Flag{hostFlag(), outputFlag()},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			r, err := client(c).Release(ctx, 0)
+			if err != nil {
+				return err
+			}
+			return s.print(c, r.Content(), func(w io.Writer) { printRelease(w, r) })
+		},
+	}
+}
+
+func (s commands) watch() *cli.Command {
+	return &cli.Command{
+		Name:        "watch",
+		Usage:       "print each new generation as the host takes it",
+		Description: "Example: pimentospread watch --after 41",
+		Flags:       []cli.Flag{hostFlag(), outputFlag(), &cli.Uint64Flag{Name: flagAfter, Usage: "the last generation already known"}},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			after := pimentospread.Generation(c.Uint64(flagAfter))
+			for ctx.Err() == nil {
+				r, err := client(c).Release(ctx, after)
+				if isTimeout(err) {
+					continue
+				}
+				if err != nil {
+					return err
+				}
+				after = r.Generation
+				line := func(w io.Writer) {
+					_, _ = fmt.Fprintf(w, "generation %d by %s at %s\n", r.Generation, r.Publisher, r.PublishedAt)
+				}
+				if err := s.print(c, r, line); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+	}
+}
+
+func (s commands) status() *cli.Command {
+	return &cli.Command{
+		Name:        "status",
+		Usage:       "show which host has which generation in force",
+		Description: "Example: pimentospread status --host http://127.0.0.1:8600",
+		Flags:       []cli.Flag{hostFlag(), outputFlag()},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			status, err := client(c).Status(ctx)
+			if err != nil {
+				return err
+			}
+			return s.print(c, status, func(w io.Writer) {
+				_, _ = fmt.Fprintf(w, "HOST\tFAILURE DOMAIN\tALIVE\tREADY\tLEAVING\tPREPARED\tACTIVE\n")
+				for _, h := range status.Hosts {
+					_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%d\n", h.Host, h.FailureDomain,
+						yesNo(h.Alive), yesNo(h.Ready), yesNo(h.Leaving), h.Prepared, h.Active)
+				}
+			})
+		},
+	}
+}
+
+func (s commands) settings() *cli.Command {
+	return &cli.Command{
+		Name:        "settings",
+		Usage:       "print the checked settings, or the reference page",
+		Description: "Example: pimentospread settings --settings host.json\nExample: pimentospread settings --reference",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: flagSettings, Usage: "JSON file with the settings; - reads standard input"},
+			&cli.BoolFlag{Name: flagReference, Usage: "print the reference page in Markdown"},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			if c.Bool(flagReference) {
+				page, err := settings.Reference()
+				_, _ = io.WriteString(s.deps.Stdout, page)
+				return err
+			}
+			data, err := s.read(c.String(flagSettings))
+			if err != nil {
+				return err
+			}
+			checked, faults, err := settings.Decode(data)
+			if err != nil {
+				return err
+			}
+			if len(faults) > 0 {
+				printFaults(s.deps.Stderr, faults)
+				return pimentospread.ErrInvalid.New("the settings have %d faults", len(faults))
+			}
+			if checked.AdminToken != "" {
+				checked.AdminToken = "(set)"
+			}
+			e := json.NewEncoder(s.deps.Stdout)
+			e.SetIndent("", "  ")
+			return e.Encode(checked)
+		},
+	}
+}
+
+func (s commands) version() *cli.Command {
+	return &cli.Command{
+		Name:        "version",
+		Usage:       "print the version",
+		Description: "Example: pimentospread version --output json",
+		Flags:       []cli.Flag{outputFlag()},
+		Action: func(_ context.Context, c *cli.Command) error {
+			b := s.deps.Build
+			return s.print(c, b, func(w io.Writer) { _, _ = fmt.Fprintf(w, "pimentospread %s (%s)\n", b.Version, b.Revision) })
+		},
+	}
+}
+
+func (s commands) serve() *cli.Command {
+	return &cli.Command{
+		Name:        "serve",
+		Usage:       "run an entry host",
+		Description: "SIGTERM starts a graceful shutdown.\n\nExample: pimentospread serve --settings host.json",
+		Flags:       []cli.Flag{&cli.StringFlag{Name: flagSettings, Required: true, Usage: "JSON file with the settings; - reads standard input"}},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			data, err := s.read(c.String(flagSettings))
+			if err != nil {
+				return err
+			}
+			return s.deps.Serve(ctx, data)
+		},
+	}
+}
+
+func printRelease(w io.Writer, r *release.Release) {
+	_, _ = fmt.Fprintf(w, "generation %d by %s at %s\n", r.Generation, r.Publisher, r.PublishedAt)
+	_, _ = fmt.Fprintf(w, "SERVICE\tADDRESSES\tPOOL\tPOLICY\n")
+	for _, v := range r.Set.Services {
+		_, _ = fmt.Fprintf(w, "%s\t%v\t%s\t%s\n", v.Name, v.Addresses, v.Pool, v.Policy)
+	}
+	_, _ = fmt.Fprintf(w, "POOL\tTARGET\tFAILURE DOMAIN\tSLOTS\tCONNECTIONS\tSTATE\n")
+	for _, p := range r.Set.TargetPools {
+		for _, t := range p.Targets {
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%s\n", p.Name, t.Name, t.FailureDomain, t.Slots, t.Connections, t.State)
+		}
+	}
+}
--- a/control/controller.go
+++ b/control/controller.go
@@ -17,7 +17,8 @@
 )
 
 const (
-	eventCapacity = 1024
+	eventCapacity    = 1024
+	questionCapacity = 64
 	// probeWorkers is the number of probes that can wait for an answer at the same
 	// time. Targets that do not answer must not delay the probes of the others.
 	probeWorkers  = 8
@@ -59,8 +60,10 @@
 	deps   Deps
 	events *ring.Ring[Event]
 	loads  *ring.Ring[ViewLoaded]
-	builds *ring.Ring[*Build]
-	probes []*ring.Ring[pool.Target]
+	// questions are asked by the administration API.
+	questions *ring.Ring[statusQuestion]
+	builds    *ring.Ring[*Build]
+	probes    []*ring.Ring[pool.Target]
 	// latest is what other duties may see of the state.
 	latest  atomic.Pointer[decide.View]
 	invalid pimentospread.Counter
@@ -70,11 +73,12 @@
 func NewController(d Deps) *Controller {
 	d.Config.Deciders = len(d.Views)
 	c := &Controller{
-		deps:    d,
-		events:  ring.New[Event](eventCapacity, ring.Wait),
-		loads:   ring.New[ViewLoaded](loadsPerDecider*max(1, len(d.Views)), ring.DropOldest),
-		builds:  ring.New[*Build](1, ring.DropOldest),
-		invalid: d.Metrics.Counter(`control_releases_invalid_total`),
+		deps:      d,
+		events:    ring.New[Event](eventCapacity, ring.Wait),
+		loads:     ring.New[ViewLoaded](loadsPerDecider*max(1, len(d.Views)), ring.DropOldest),
+		builds:    ring.New[*Build](1, ring.DropOldest),
+		questions: ring.New[statusQuestion](questionCapacity, ring.Refuse),
+		invalid:   d.Metrics.Counter(`control_releases_invalid_total`),
 	}
 	for range probeWorkers {
 		c.probes = append(c.probes, ring.New[pool.Target](probeCapacity, ring.DropOldest))
@@ -127,6 +131,9 @@
 			return nil
 		case <-ticker.C:
 			e = Tick{}
+		case q := <-c.questions.Items():
+			_ = q.reply.Put(ctx, cell.Status(c.deps.Clock.Now()))
+			continue
 		case e = <-c.events.Items():
 		case l := <-c.loads.Items():
 			e = l
--- /dev/null
+++ b/control/status.go
@@ -0,0 +1,51 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"pimentospread"
+	"pimentospread/member"
+	"pimentospread/ring"
+)
+
+// statusQuestion asks the duty for the cell as it sees it.
+type statusQuestion struct {
+	reply *ring.Ring[member.CellStatus]
+}
+
+// Status returns the cell as this host sees it.
+func (c *Controller) Status(ctx context.Context) (member.CellStatus, error) {
+	q := statusQuestion{reply: ring.New[member.CellStatus](1, ring.DropOldest)}
+	if err := c.questions.Put(ctx, q); err != nil {
+		return member.CellStatus{}, err
+	}
+	select {
+	case s := <-q.reply.Items():
+		return s, nil
+	case <-ctx.Done():
+		return member.CellStatus{}, pimentospread.At(pimentospread.ErrTimeout.New("the control duty did not answer"), "status", "")
+	}
+}
+
+// Status returns the cell at the given time.
+func (c *Cell) Status(now time.Time) member.CellStatus {
+	self := c.config.Self
+	s := member.CellStatus{
+		Reporter:   self.ID,
+		Generation: c.Held(),
+		Hosts: []member.HostStatus{{
+			Host: self.ID, FailureDomain: self.FailureDomain, AdminAddress: self.AdminAddress,
+			Alive: true, Ready: c.Ready(), Leaving: c.leaving,
+			Prepared: c.release.prepared, Active: c.Active(), HeardAt: now,
+		}},
+	}
+	for _, p := range c.members.Peers() {
+		s.Hosts = append(s.Hosts, member.HostStatus{
+			Host: p.Host.ID, FailureDomain: p.Host.FailureDomain, AdminAddress: p.Host.AdminAddress,
+			Alive: p.Alive(now), Ready: p.Heartbeat.Ready, Leaving: p.Heartbeat.Leaving,
+			Prepared: p.Heartbeat.Prepared, Active: p.Heartbeat.Active, HeardAt: p.Heard,
+		})
+	}
+	return s
+}
--- a/decide/requests.go
+++ b/decide/requests.go
@@ -10,7 +10,7 @@
 
 // Causes for which the requests decider drops what it gets.
 const (
-	DropUnknownService DropCause = "request_unknown_service"
+	DropRequestService DropCause = "request_unknown_service"
 	DropUnknownCancel  DropCause = "request_unknown_cancel"
 	DropUnknownAttempt DropCause = "answer_unknown_attempt"
 	DropWrongTarget    DropCause = "answer_wrong_target"
@@ -99,7 +99,7 @@
 func (r *Requests) accept(now time.Time, q request.Request, actions *RequestActions) {
 	service := r.service(q.Service)
 	if service == nil {
-		actions.Drops = append(actions.Drops, DropUnknownService)
+		actions.Drops = append(actions.Drops, DropRequestService)
 		return
 	}
 	key := statKey{q.Service, q.Class}
--- /dev/null
+++ b/host/build.go
@@ -0,0 +1,194 @@
+package host
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"net/url"
+	"strconv"
+
+	"pimentospread"
+	"pimentospread/burn"
+	"pimentospread/coap"
+	"pimentospread/control"
+	"pimentospread/decide"
+	"pimentospread/engine"
+	"pimentospread/member"
+	"pimentospread/operator"
+	"pimentospread/packet"
+	"pimentospread/peer"
+	"pimentospread/platform"
+	"pimentospread/publish"
+	"pimentospread/release"
+	"pimentospread/request"
+	"pimentospread/ring"
+	"pimentospread/target"
+)
+
+const (
+	// maxFlows bounds the flows of a shard: 79 million flows in cells of 16 hosts are about 100,000 a cell.
+	maxFlows = 1 << 20
+	// viewCapacity is more than the views of one heartbeat; only the newest one counts.
+	viewCapacity = 16
+)
+
+// build makes the duties and the rings between them.
+func (h *Host) build() error {
+	base, err := url.Parse(h.settings.PlatformURL)
+	if err != nil {
+		return pimentospread.At(pimentospread.ErrInvalid.Wrap(err, "PlatformURL is not a URL"), "build", "")
+	}
+	store := platform.NewClient(platform.Deps{Base: base})
+	route := h.newRouter()
+	h.network = peer.NewNetwork(peer.Deps{
+		Self: h.settings.Host, Incarnation: h.incarnation, Listener: h.sockets.peer,
+		Registry: Messages(), Inbox: route, Metrics: h.metrics, Log: h.log,
+	})
+	views := h.newViews()
+	reports := ring.New[pimentospread.LoadReport](h.settings.RingCapacity, ring.DropOldest)
+	h.control = control.NewController(control.Deps{
+		Config:   control.Config{Self: h.self(), Incarnation: h.incarnation, Seeds: h.seeds()},
+		Cell:     h.settings.Cell,
+		Clock:    h.clock,
+		Platform: store,
+		Network:  h.network,
+		Prober:   target.NewProber(target.Deps{Clock: h.clock, Timeout: h.settings.ProbeTimeout.Duration}),
+		Decode:   release.Decode,
+		Inbox:    route.control,
+		Views:    views,
+		Reports:  reports,
+		Metrics:  h.metrics,
+		Log:      h.log,
+	})
+	h.progress = ring.New[progress](viewCapacity*len(views), ring.Wait)
+	h.buildDataPath(route, views)
+	h.buildRequests(route, views, reports)
+	h.buildReport(views, store)
+	return nil
+}
+
+func (h *Host) self() member.Host {
+	return member.Host{
+		ID: h.settings.Host, FailureDomain: h.settings.FailureDomain, State: member.Live,
+		PeerAddress: addressOf(h.sockets.peer), AdminAddress: addressOf(h.sockets.admin),
+		DataAddress: h.sockets.data.address(),
+	}
+}
+
+func (h *Host) seeds() []member.Host {
+	var seeds []member.Host
+	for _, s := range h.settings.Seeds {
+		seeds = append(seeds, member.Host{ID: s.Host, PeerAddress: s.PeerAddress, State: member.Live})
+	}
+	return seeds
+}
+
+func (h *Host) newRouter() *router {
+	capacity := h.settings.RingCapacity
+	r := &router{
+		control:  ring.New[pimentospread.Inbound](capacity, ring.DropOldest),
+		requests: ring.New[pimentospread.Inbound](capacity, ring.Refuse),
+		claims:   map[pimentospread.MessageKind]bool{},
+	}
+	for range h.settings.FlowShards {
+		r.flows = append(r.flows, ring.New[pimentospread.Inbound](capacity, ring.Refuse))
+	}
+	for _, kind := range claimKinds {
+		r.claims[kind] = true
+	}
+	return r
+}
+
+// newViews returns one ring for each flow shard, then the requests duty and the report duty.
+func (h *Host) newViews() []*ring.Ring[*decide.View] {
+	var views []*ring.Ring[*decide.View]
+	for range h.settings.FlowShards + 2 {
+		views = append(views, ring.New[*decide.View](viewCapacity, ring.DropOldest))
+	}
+	return views
+}
+
+func (h *Host) buildDataPath(route *router, views []*ring.Ring[*decide.View]) {
+	capacity := h.settings.RingCapacity
+	out := ring.New[datagram](capacity, ring.DropOldest)
+	h.countRefusals("send", out.Refused)
+	h.sender = &sender{
+		log: h.log, fabric: h.sockets.data, gateway: h.settings.FabricAddress, out: out,
+		encoder: packet.NewEncoder(), failed: h.metrics.Counter(`pimentospread_send_failures_total{socket="data"}`),
+	}
+	for i := range h.settings.FlowShards {
+		packets := ring.New[flowPacket](capacity, ring.Refuse)
+		h.countRefusals("packets "+strconv.Itoa(i), packets.Refused)
+		h.shards = append(h.shards, &flowShard{
+			number: i, clock: h.clock, packets: packets, inbound: route.flows[i], views: views[i],
+			decider: decide.NewFlows(decide.FlowsDeps{Shard: i, Shards: h.settings.FlowShards, MaxFlows: maxFlows}),
+			control: h.control, progress: h.progress, out: out, peers: h.network, drops: newDropCounters(h.metrics),
+		})
+	}
+	requests := ring.NewClassed[request.Request](requestRanks, capacity)
+	h.receiver = &receiver{
+		fabric: h.sockets.data, shards: h.shards, requests: requests, out: out, log: h.log, metrics: h.metrics,
+		views: ring.New[*decide.View](viewCapacity, ring.DropOldest), encoder: h.newReplyEncoder(),
+	}
+}
+
+func (h *Host) newReplyEncoder() *replyEncoder {
+	return &replyEncoder{coap: coap.NewEncoder(uint16(rand.Uint32())), packet: packet.NewEncoder(), log: h.log}
+}
+
+func (h *Host) buildRequests(route *router, views []*ring.Ring[*decide.View], reports *ring.Ring[pimentospread.LoadReport]) {
+	capacity := h.settings.RingCapacity
+	answers := ring.New[request.Answer](capacity, ring.Refuse)
+	attempts := ring.New[targetMessage](capacity, ring.Wait)
+	h.countRefusals("answers", answers.Refused)
+	number := h.settings.FlowShards
+	h.requester = &requester{
+		number: number, clock: h.clock, requests: h.receiver.requests, answers: answers, inbound: route.requests,
+		reports: reports, views: views[number], control: h.control, progress: h.progress,
+		attempts: attempts, replies: h.sender.out, peers: h.network,
+		encoder: h.newReplyEncoder(), drops: newDropCounters(h.metrics),
+		decider: engine.NewRequests(engine.RequestsDeps{
+			Self: h.settings.Host, Incarnation: h.incarnation, Started: h.clock.Now(),
+			Seed: rand.Uint64(), Metrics: h.metrics,
+		}),
+	}
+	h.answers = &answerReceiver{socket: h.sockets.request, answers: answers, metrics: h.metrics, log: h.log}
+	h.attempts = &requestSender{
+		log: h.log, socket: h.sockets.request, out: attempts, encoder: coap.NewEncoder(uint16(rand.Uint32())),
+		failed: h.metrics.Counter(`pimentospread_send_failures_total{socket="request"}`),
+	}
+}
+
+func (h *Host) buildReport(views []*ring.Ring[*decide.View], store pimentospread.Platform) {
+	number := h.settings.FlowShards + 1
+	h.reporter = &reporter{
+		number: number, control: h.control, views: views[number], receiver: h.receiver.views,
+		questions: ring.New[releaseQuestion](h.settings.RingCapacity, ring.Refuse),
+	}
+	h.operator = operator.NewServer(operator.Deps{
+		Log: h.log, Token: h.settings.AdminToken,
+		Publisher: publish.New(publish.Deps{
+			Platform: store, Clock: h.clock, Cell: h.settings.Cell, NewID: newPublishID, NewSeed: rand.Uint64,
+		}),
+		Release: h.reporter.release,
+		Status:  h.control.Status,
+		Burn:    func(context.Context) (burn.Report, error) { return burn.Report{}, nil },
+		Metrics: h.metrics.write,
+		Ready:   func(context.Context) bool { return h.control.Latest().Ready },
+	})
+}
+
+func newPublishID() pimentospread.PublishID {
+	return pimentospread.PublishID(strconv.FormatUint(rand.Uint64(), 36) + strconv.FormatUint(rand.Uint64(), 36))
+}
+
+// countRefusals shows how many items a ring has refused.
+func (h *Host) countRefusals(name string, read func() uint64) {
+	h.metrics.Gauge(`pimentospread_ring_refused{ring="`+name+`"}`, func() float64 { return float64(read()) })
+}
+
+func addressOf(l net.Listener) netip.AddrPort {
+	a := l.Addr().(*net.TCPAddr).AddrPort()
+	return netip.AddrPortFrom(a.Addr().Unmap(), a.Port())
+}
--- /dev/null
+++ b/host/flows.go
@@ -0,0 +1,120 @@
+package host
+
+import (
+	"context"
+	"time"
+
+	"pimentospread"
+	"pimentospread/control"
+	"pimentospread/decide"
+	"pimentospread/flow"
+	"pimentospread/packet"
+	"pimentospread/ring"
+)
+
+// flowTick is the period of the work of a shard that no packet causes. The
+// shortest timeout of a decision is 200 ms.
+const flowTick = 50 * time.Millisecond
+
+// flowPacket is a packet of a flow on its way to its shard.
+type flowPacket struct {
+	packet flow.Packet
+	raw    []byte
+}
+
+// flowShard is the duty that decides on the flows of one shard.
+type flowShard struct {
+	number   int
+	clock    pimentospread.Clock
+	decider  *decide.Flows
+	packets  *ring.Ring[flowPacket]
+	inbound  *ring.Ring[pimentospread.Inbound]
+	views    *ring.Ring[*decide.View]
+	control  *control.Controller
+	progress *ring.Ring[progress]
+	out      *ring.Ring[datagram]
+	peers    pimentospread.PeerNetwork
+	drops    dropCounters
+	actions  decide.FlowActions
+	view     *decide.View
+	// loaded is what the control duty was told last.
+	loaded control.ViewLoaded
+	left   bool
+}
+
+// progress tells the shutdown how far a decider has come.
+type progress struct {
+	decider int
+	// done says that the host may stop as far as this decider is concerned.
+	done bool
+}
+
+func (s *flowShard) run(ctx context.Context) error {
+	ticker := time.NewTicker(flowTick)
+	defer ticker.Stop()
+	for {
+		now := s.clock.Now()
+		select {
+		case <-ctx.Done():
+			return nil
+		case p := <-s.packets.Items():
+			s.decider.Packet(now, p.packet, p.raw, &s.actions)
+		case m := <-s.inbound.Items():
+			s.decider.Peer(now, m, &s.actions)
+		case v := <-s.views.Items():
+			s.configure(now, v)
+		case <-ticker.C:
+			s.decider.Tick(s.clock.Now(), &s.actions)
+		}
+		s.carryOut(ctx)
+		s.report(ctx)
+	}
+}
+
+func (s *flowShard) configure(now time.Time, v *decide.View) {
+	leaves := v.Leaving && (s.view == nil || !s.view.Leaving)
+	s.view = v
+	s.decider.Configure(now, v, &s.actions)
+	if leaves {
+		s.decider.Leave(now, &s.actions)
+	}
+}
+
+func (s *flowShard) carryOut(ctx context.Context) {
+	a := &s.actions
+	for _, f := range a.Forwards {
+		header := packet.Header{Service: f.Service, Destination: f.Target}
+		_ = s.out.Put(ctx, datagram{header: header, packet: f.Packet, to: f.Address})
+	}
+	for _, d := range a.Delivers {
+		_ = s.out.Put(ctx, datagram{packet: d.Packet})
+	}
+	for _, r := range a.Resets {
+		_ = s.out.Put(ctx, datagram{packet: r.Packet, reset: true})
+	}
+	for _, m := range a.Peers {
+		_ = s.peers.Send(ctx, m)
+	}
+	s.drops.add(a.Drops)
+	a.Clear()
+}
+
+// report tells the control duty when the shard goes by a view, and the shutdown
+// when the records are handed over.
+func (s *flowShard) report(ctx context.Context) {
+	if s.view == nil {
+		return
+	}
+	loaded := control.ViewLoaded{Decider: s.number, Sequence: s.view.Sequence}
+	if s.decider.Prepared() {
+		loaded.Prepared = s.view.Generation()
+	}
+	if loaded != s.loaded {
+		s.loaded = loaded
+		_ = s.control.Loaded(ctx, loaded)
+	}
+	if s.view.Leaving && s.decider.HandedOver() && !s.left {
+		s.left = true
+		_ = s.progress.Put(ctx, progress{decider: s.number, done: true})
+	}
+}
--- /dev/null
+++ b/host/host.go
@@ -0,0 +1,144 @@
+package host
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+
+	"github.com/joomcode/errorx"
+
+	"pimentospread"
+	"pimentospread/control"
+	"pimentospread/duty"
+	"pimentospread/operator"
+	"pimentospread/peer"
+	"pimentospread/ring"
+	"pimentospread/settings"
+)
+
+// Deps are the dependencies of a Host.
+type Deps struct {
+	Settings  settings.Settings
+	Clock     pimentospread.Clock
+	LogOutput io.Writer
+}
+
+// Host is an entry host: its sockets and its duties.
+type Host struct {
+	settings    settings.Settings
+	clock       pimentospread.Clock
+	log         *slog.Logger
+	metrics     *registry
+	incarnation pimentospread.Incarnation
+	sockets     sockets
+
+	network   *peer.Network
+	control   *control.Controller
+	shards    []*flowShard
+	requester *requester
+	answers   *answerReceiver
+	attempts  *requestSender
+	receiver  *receiver
+	sender    *sender
+	reporter  *reporter
+	operator  *operator.Server
+	progress  *ring.Ring[progress]
+}
+
+// sockets are the four addresses at which a host listens.
+type sockets struct {
+	data, request *socket
+	peer, admin   net.Listener
+}
+
+// New opens the sockets and builds the duties. Run starts them.
+func New(deps Deps) (*Host, error) {
+	h := &Host{
+		settings: deps.Settings, clock: deps.Clock, metrics: newRegistry(),
+		incarnation: pimentospread.Incarnation(deps.Clock.Now().UnixNano()),
+	}
+	h.log = newLogger(deps.Settings, deps.LogOutput, h.generation)
+	if err := h.open(); err != nil {
+		h.closeSockets()
+		return nil, err
+	}
+	if err := h.build(); err != nil {
+		h.closeSockets()
+		return nil, err
+	}
+	return h, nil
+}
+
+func (h *Host) generation() pimentospread.Generation {
+	if h.control == nil {
+		return 0
+	}
+	return h.control.Latest().Generation()
+}
+
+func (h *Host) open() error {
+	var err error
+	s := h.settings
+	if h.sockets.data, err = listen(s.DataAddress); err != nil {
+		return err
+	}
+	if h.sockets.request, err = listen(s.RequestAddress); err != nil {
+		return err
+	}
+	var tcp net.ListenConfig
+	if h.sockets.peer, err = tcp.Listen(context.Background(), "tcp", s.PeerAddress.String()); err != nil {
+		return pimentospread.At(pimentospread.ErrUnavailable.Wrap(err, "peer address cannot be used"), "listen", s.PeerAddress.String())
+	}
+	if h.sockets.admin, err = tcp.Listen(context.Background(), "tcp", s.AdminAddress.String()); err != nil {
+		return pimentospread.At(pimentospread.ErrUnavailable.Wrap(err, "administration address cannot be used"), "listen", s.AdminAddress.String())
+	}
+	return nil
+}
+
+func (h *Host) closeSockets() {
+	if h.sockets.data != nil {
+		_ = h.sockets.data.Close()
+	}
+	if h.sockets.request != nil {
+		_ = h.sockets.request.Close()
+	}
+	if h.sockets.peer != nil {
+		_ = h.sockets.peer.Close()
+	}
+	if h.sockets.admin != nil {
+		_ = h.sockets.admin.Close()
+	}
+}
+
+// Run starts all duties, waits for the context to end, and shuts down: the
+// host leaves the cell, finishes what it has begun and then stops its duties.
+func (h *Host) Run(ctx context.Context) error {
+	// The duties outlive ctx, which only says that the shutdown begins.
+	g := duty.NewGroup(context.WithoutCancel(ctx), h.log)
+	g.Go("peers", h.network.Run)
+	g.Go("control", h.control.Run)
+	for _, s := range h.shards {
+		g.Go("flows", s.run)
+	}
+	g.Go("requests", h.requester.run)
+	g.Go("answers", h.answers.run)
+	g.Go("attempts", h.attempts.run)
+	g.Go("send", h.sender.run)
+	g.Go("receive", h.receiver.run)
+	g.Go("report", h.reporter.run)
+	g.Go("operator", func(ctx context.Context) error { return h.operator.Run(ctx, h.sockets.admin) })
+	h.log.Info("host started", "data", h.sockets.data.address(), "peer", h.sockets.peer.Addr(), "admin", h.sockets.admin.Addr())
+	select {
+	case <-ctx.Done():
+		h.shutDown(g.Context())
+	case <-g.Context().Done():
+	}
+	g.Stop()
+	err := g.Wait()
+	h.closeSockets()
+	h.log.Info("host stopped")
+	return err
+}
+
+func isClosed(err error) bool { return errorx.IsOfType(err, pimentospread.ErrClosed) }
--- /dev/null
+++ b/host/report.go
@@ -0,0 +1,82 @@
+package host
+
+import (
+	"context"
+
+	"pimentospread"
+	"pimentospread/control"
+	"pimentospread/decide"
+	"pimentospread/release"
+	"pimentospread/ring"
+)
+
+// releaseQuestion waits for a release above a generation.
+type releaseQuestion struct {
+	ctx   context.Context //nolint:containedctx // the question ends with the caller's context
+	after pimentospread.Generation
+	reply *ring.Ring[*release.Release]
+}
+
+// reporter is the duty that answers questions of the administration API about
+// the release in force, and passes views on to the receiver.
+type reporter struct {
+	number    int
+	control   *control.Controller
+	views     *ring.Ring[*decide.View]
+	receiver  *ring.Ring[*decide.View]
+	questions *ring.Ring[releaseQuestion]
+	view      *decide.View
+	waiting   []releaseQuestion
+}
+
+func (r *reporter) run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case v := <-r.views.Items():
+			r.view = v
+			_ = r.receiver.Put(ctx, v)
+			_ = r.control.Loaded(ctx, control.ViewLoaded{Decider: r.number, Sequence: v.Sequence, Prepared: v.Generation()})
+		case q := <-r.questions.Items():
+			r.waiting = append(r.waiting, q)
+		}
+		r.answer()
+	}
+}
+
+// answer serves the questions whose release has come and drops those whose asker has gone.
+func (r *reporter) answer() {
+	kept := r.waiting[:0]
+	for _, q := range r.waiting {
+		switch {
+		case q.ctx.Err() != nil:
+		case r.view.Generation() > q.after:
+			_ = q.reply.Put(q.ctx, r.view.Release)
+		default:
+			kept = append(kept, q)
+		}
+	}
+	r.waiting = kept
+}
+
+// release returns the host's release once its generation is above after. With
+// after zero it does not wait.
+func (r *reporter) release(ctx context.Context, after pimentospread.Generation) (*release.Release, error) {
+	if after == 0 {
+		if v := r.control.Latest(); v.Release != nil {
+			return v.Release, nil
+		}
+		return nil, pimentospread.At(pimentospread.ErrNotFound.New("no release is in force at this host"), "get release", "")
+	}
+	q := releaseQuestion{ctx: ctx, after: after, reply: ring.New[*release.Release](1, ring.DropOldest)}
+	if err := r.questions.Put(ctx, q); err != nil {
+		return nil, err
+	}
+	select {
+	case v := <-q.reply.Items():
+		return v, nil
+	case <-ctx.Done():
+		return nil, pimentospread.At(pimentospread.ErrTimeout.New("generation %d is still in force", after), "watch release", "")
+	}
+}
--- /dev/null
+++ b/host/requests.go
@@ -0,0 +1,230 @@
+package host
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"pimentospread"
+	"pimentospread/coap"
+	"pimentospread/control"
+	"pimentospread/decide"
+	"pimentospread/engine"
+	"pimentospread/packet"
+	"pimentospread/request"
+	"pimentospread/ring"
+)
+
+// requestTick is the period of the work on requests that no message causes.
+const requestTick = 20 * time.Millisecond
+
+// requester is the duty that decides on requests.
+type requester struct {
+	number   int
+	clock    pimentospread.Clock
+	decider  *engine.Requests
+	requests *ring.Classed[request.Request]
+	answers  *ring.Ring[request.Answer]
+	inbound  *ring.Ring[pimentospread.Inbound]
+	reports  *ring.Ring[pimentospread.LoadReport]
+	views    *ring.Ring[*decide.View]
+	control  *control.Controller
+	progress *ring.Ring[progress]
+	attempts *ring.Ring[targetMessage]
+	replies  *ring.Ring[datagram]
+	peers    pimentospread.PeerNetwork
+	encoder  *replyEncoder
+	drops    dropCounters
+	actions  decide.RequestActions
+	view     *decide.View
+	idle     bool
+}
+
+func (r *requester) run(ctx context.Context) error {
+	ticker := time.NewTicker(requestTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-r.requests.Ready():
+			r.takeRequests()
+		case a := <-r.answers.Items():
+			r.decider.Answer(r.clock.Now(), a, &r.actions)
+		case m := <-r.inbound.Items():
+			r.decider.Peer(r.clock.Now(), m, &r.actions)
+		case l := <-r.reports.Items():
+			r.decider.Report(r.clock.Now(), l)
+		case v := <-r.views.Items():
+			r.configure(ctx, v)
+		case <-ticker.C:
+			r.decider.Tick(r.clock.Now(), &r.actions)
+		}
+		r.carryOut(ctx)
+		r.report(ctx)
+	}
+}
+
+func (r *requester) takeRequests() {
+	for {
+		q, ok := r.requests.Take()
+		if !ok {
+			return
+		}
+		r.decider.Arrive(r.clock.Now(), q, &r.actions)
+	}
+}
+
+func (r *requester) configure(ctx context.Context, v *decide.View) {
+	now := r.clock.Now()
+	leaves := v.Leaving && (r.view == nil || !r.view.Leaving)
+	r.view = v
+	r.decider.Configure(now, v, &r.actions)
+	if leaves {
+		r.decider.Leave(now, &r.actions)
+	}
+	_ = r.control.Loaded(ctx, control.ViewLoaded{Decider: r.number, Sequence: v.Sequence, Prepared: v.Generation()})
+}
+
+func (r *requester) carryOut(ctx context.Context) {
+	a := &r.actions
+	for i := range a.Attempts {
+		_ = r.attempts.Put(ctx, targetMessage{attempt: &a.Attempts[i]}.own())
+	}
+	for i := range a.Cancels {
+		_ = r.attempts.Put(ctx, targetMessage{cancel: &a.Cancels[i]}.own())
+	}
+	for _, p := range a.Replies {
+		if d, ok := r.encoder.encode(p); ok {
+			_ = r.replies.Put(ctx, d)
+		}
+	}
+	for _, m := range a.Peers {
+		_ = r.peers.Send(ctx, m)
+	}
+	r.drops.add(a.Drops)
+	a.Clear()
+}
+
+// report tells the shutdown whether requests are in progress.
+func (r *requester) report(ctx context.Context) {
+	if r.view == nil || !r.view.Leaving {
+		return
+	}
+	idle := r.decider.Idle()
+	if idle == r.idle {
+		return
+	}
+	r.idle = idle
+	_ = r.progress.Put(ctx, progress{decider: r.number, done: idle})
+}
+
+// targetMessage is a message for a target's request address.
+type targetMessage struct {
+	attempt *request.Attempt
+	cancel  *request.Cancel
+}
+
+// own copies what the message refers to, because the actions are used again.
+func (m targetMessage) own() targetMessage {
+	if m.attempt != nil {
+		a := *m.attempt
+		m.attempt = &a
+	}
+	if m.cancel != nil {
+		c := *m.cancel
+		m.cancel = &c
+	}
+	return m
+}
+
+// requestSender is the duty that encodes attempts and sends them to targets.
+type requestSender struct {
+	log     *slog.Logger
+	socket  pimentospread.Fabric
+	out     *ring.Ring[targetMessage]
+	encoder *coap.Encoder
+	failed  pimentospread.Counter
+}
+
+func (s *requestSender) run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case m := <-s.out.Items():
+			if err := s.send(m); err != nil {
+				s.failed.Add(1)
+				s.log.Debug("attempt not sent", "error", err)
+			}
+		}
+	}
+}
+
+func (s *requestSender) send(m targetMessage) error {
+	if m.cancel != nil {
+		data, err := s.encoder.EncodeCancel(*m.cancel)
+		if err != nil {
+			return err
+		}
+		return s.socket.Send(data, m.cancel.Address)
+	}
+	data, err := s.encoder.EncodeAttempt(*m.attempt)
+	if err != nil {
+		return err
+	}
+	return s.socket.Send(data, m.attempt.Address)
+}
+
+// answerReceiver is the duty that reads the answers of targets.
+type answerReceiver struct {
+	socket  pimentospread.Fabric
+	answers *ring.Ring[request.Answer]
+	metrics pimentospread.Metrics
+	log     *slog.Logger
+}
+
+func (r *answerReceiver) run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = r.socket.Close() })
+	defer stop()
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, from, err := r.socket.Receive(buffer)
+		if isClosed(err) {
+			return nil
+		}
+		if err != nil {
+			// A target that is gone makes the kernel report an error on the next receive.
+			r.log.Debug("answer not received", "error", err)
+			continue
+		}
+		answer, err := coap.DecodeAnswer(buffer[:n], from)
+		if err != nil {
+			r.metrics.Counter(`pimentospread_malformed_total{what="answer",cause="` + causeLabel(err) + `"}`).Add(1)
+			continue
+		}
+		_ = r.answers.Put(ctx, answer)
+	}
+}
+
+// replyEncoder encodes replies to callers. Each duty has its own.
+type replyEncoder struct {
+	coap   *coap.Encoder
+	packet *packet.Encoder
+	log    *slog.Logger
+}
+
+func (r *replyEncoder) encode(reply request.Reply) (datagram, bool) {
+	data, err := r.coap.EncodeReply(reply)
+	if err != nil {
+		r.log.Debug("reply not encoded", "peer", reply.Origin.Caller, "error", err)
+		return datagram{}, false
+	}
+	inner, err := r.packet.UDP(reply.Origin.Service, reply.Origin.Caller, data)
+	if err != nil {
+		r.log.Debug("reply not encoded", "peer", reply.Origin.Caller, "error", err)
+		return datagram{}, false
+	}
+	// The encoder uses its buffer again before the packet is sent.
+	return datagram{packet: append([]byte(nil), inner...)}, true
+}
--- /dev/null
+++ b/host/shutdown.go
@@ -0,0 +1,47 @@
+package host
+
+import (
+	"context"
+	"time"
+)
+
+// lingerTime is how long a leaving host goes on with packets after it is done.
+// The fabric and the peers take up to two heartbeats to notice that it leaves.
+const lingerTime = 2 * time.Second
+
+// shutDown tells the cell that the host leaves and waits until the flow shards
+// have handed over their records and no request is in progress. The grace of
+// the settings bounds it.
+func (h *Host) shutDown(ctx context.Context) {
+	h.log.Info("shutdown started", "grace", h.settings.ShutdownGrace)
+	ctx, cancel := context.WithTimeout(ctx, h.settings.ShutdownGrace.Duration)
+	defer cancel()
+	if err := h.control.Leave(ctx); err != nil {
+		h.log.Error("shutdown could not be announced", "error", err)
+		return
+	}
+	linger := time.NewTimer(lingerTime)
+	defer linger.Stop()
+	lingered := false
+	done := make(map[int]bool, len(h.shards)+1)
+	for !lingered || !h.allDone(done) {
+		select {
+		case p := <-h.progress.Items():
+			done[p.decider] = p.done
+		case <-linger.C:
+			lingered = true
+		case <-ctx.Done():
+			h.log.Warn("shutdown ended by its grace", "grace", h.settings.ShutdownGrace, "error", ctx.Err())
+			return
+		}
+	}
+}
+
+func (h *Host) allDone(done map[int]bool) bool {
+	for i := range len(h.shards) + 1 {
+		if !done[i] {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/operator/client.go
@@ -0,0 +1,113 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+
+	"pimentospread"
+	"pimentospread/burn"
+	"pimentospread/member"
+	"pimentospread/publish"
+	"pimentospread/release"
+)
+
+// Client calls the administration API of one host.
+type Client struct {
+	base  string
+	token string
+	http  *http.Client
+}
+
+// NewClient returns a client for the host at the base URL.
+func NewClient(base, token string) *Client {
+	return &Client{base: base, token: token, http: &http.Client{}}
+}
+
+// At returns a client with the same token for another host.
+func (c *Client) At(address netip.AddrPort) *Client {
+	return NewClient("http://"+address.String(), c.token)
+}
+
+// Release returns the release of the host once its generation is above after.
+func (c *Client) Release(ctx context.Context, after pimentospread.Generation) (*release.Release, error) {
+	var r release.Release
+	err := c.call(ctx, http.MethodGet, fmt.Sprintf("/v1/release?After=%d", after), nil, &r)
+	return &r, err
+}
+
+// Status returns the cell as the host sees it.
+func (c *Client) Status(ctx context.Context) (member.CellStatus, error) {
+	var s member.CellStatus
+	err := c.call(ctx, http.MethodGet, "/v1/status", nil, &s)
+	return s, err
+}
+
+// Burn returns the host's service-level burn report.
+func (c *Client) Burn(ctx context.Context) (burn.Report, error) {
+	var r burn.Report
+	err := c.call(ctx, http.MethodGet, "/v1/burn", nil, &r)
+	return r, err
+}
+
+// Check checks a set of objects without publishing it.
+func (c *Client) Check(ctx context.Context, set []byte) error {
+	return c.call(ctx, http.MethodPost, "/v1/check", set, nil)
+}
+
+// Publish puts a change into force and returns the new release.
+func (c *Client) Publish(ctx context.Context, change publish.Change) (*release.Release, error) {
+	body, err := json.Marshal(change)
+	if err != nil {
+		return nil, pimentospread.At(pimentospread.ErrInvalid.Wrap(err, "the change cannot be encoded"), "encode", "")
+	}
+	var r release.Release
+	err = c.call(ctx, http.MethodPost, "/v1/changes", body, &r)
+	return &r, err
+}
+
+func (c *Client) call(ctx context.Context, method, path string, body []byte, into any) error {
+	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return c.failed(err)
+	}
+	request.Header.Set("Content-Type", jsonType)
+	if c.token != "" {
+		request.Header.Set("Authorization", "Bearer "+c.token)
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return c.failed(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return c.failed(err)
+	}
+	if response.StatusCode >= http.StatusBadRequest {
+		return c.problem(response, data)
+	}
+	if into == nil {
+		return nil
+	}
+	if err := json.Unmarshal(data, into); err != nil {
+		return c.failed(err)
+	}
+	return nil
+}
+
+func (c *Client) problem(response *http.Response, data []byte) error {
+	var p Problem
+	if response.Header.Get("Content-Type") != problemType || json.Unmarshal(data, &p) != nil {
+		return c.failed(pimentospread.ErrUnavailable.New("unexpected status %s", response.Status))
+	}
+	return p
+}
+
+func (c *Client) failed(err error) error {
+	return pimentospread.At(pimentospread.ErrUnavailable.Wrap(err, "administration API call failed"), "call", c.base)
+}
--- /dev/null
+++ b/operator/problem.go
@@ -0,0 +1,86 @@
+package operator
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"github.com/joomcode/errorx"
+
+	"pimentospread"
+	"pimentospread/publish"
+)
+
+const (
+	problemType = "application/problem+json"
+	jsonType    = "application/json"
+)
+
+// Problem is an error of the API in the form of RFC 9457. The members that the
+// RFC names keep its spelling; extensions are in Pascal case.
+type Problem struct {
+	Title  string `json:"title"`
+	Status int    `json:"status"`
+	Detail string `json:"detail"`
+	// Kind is the type of the error, such as "conflict".
+	Kind string `json:"Kind"`
+	// Step and Peer say where the error arose.
+	Step   string                `json:"Step,omitempty"`
+	Peer   string                `json:"Peer,omitempty"`
+	Faults []pimentospread.Fault `json:"Faults,omitempty"`
+}
+
+// kinds maps the error types that callers distinguish to HTTP status codes.
+var kinds = []struct {
+	kind   *errorx.Type
+	name   string
+	status int
+}{
+	{pimentospread.ErrInvalid, "invalid", http.StatusUnprocessableEntity},
+	{pimentospread.ErrConflict, "conflict", http.StatusConflict},
+	{pimentospread.ErrNotFound, "not_found", http.StatusNotFound},
+	{pimentospread.ErrRefused, "refused", http.StatusForbidden},
+	{pimentospread.ErrUncertain, "uncertain", http.StatusGatewayTimeout},
+	{pimentospread.ErrTimeout, "timeout", http.StatusGatewayTimeout},
+	{pimentospread.ErrUnavailable, "unavailable", http.StatusServiceUnavailable},
+}
+
+func problemOf(err error) Problem {
+	p := Problem{
+		Status: http.StatusInternalServerError, Kind: "internal", Detail: err.Error(),
+		Step: pimentospread.StepOf(err), Peer: pimentospread.PeerOf(err), Faults: publish.Faults(err),
+	}
+	for _, k := range kinds {
+		if errorx.IsOfType(err, k.kind) {
+			p.Status, p.Kind = k.status, k.name
+			break
+		}
+	}
+	p.Title = http.StatusText(p.Status)
+	return p
+}
+
+// Error makes a Problem usable as an error on the client's side.
+func (p Problem) Error() string {
+	text := p.Detail
+	if p.Step != "" {
+		text += fmt.Sprintf(" (step %s", p.Step)
+		if p.Peer != "" {
+			text += ", peer " + p.Peer
+		}
+		text += ")"
+	}
+	return text
+}
+
+func writeProblem(w http.ResponseWriter, err error) {
+	p := problemOf(err)
+	w.Header().Set("Content-Type", problemType)
+	w.WriteHeader(p.Status)
+	_ = json.NewEncoder(w).Encode(p)
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", jsonType)
+	_ = json.NewEncoder(w).Encode(value)
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -108,3 +108,20 @@
 	}
 	return faults
 }
+
+// WithDefaults returns the policy with the default in place of each timeout that is left out.
+func (p Policy) WithDefaults() Policy {
+	d := Defaults()
+	p.IdleTimeout = orDefault(p.IdleTimeout, d.IdleTimeout)
+	p.SilenceAfter = orDefault(p.SilenceAfter, d.SilenceAfter)
+	p.ColdStart = orDefault(p.ColdStart, d.ColdStart)
+	p.MaxLifetime = orDefault(p.MaxLifetime, d.MaxLifetime)
+	return p
+}
+
+func orDefault(value, fallback pimentospread.Duration) pimentospread.Duration {
+	if value.Duration == 0 {
+		return fallback
+	}
+	return value
+}
--- /dev/null
+++ b/release/next.go
@@ -0,0 +1,169 @@
+package release
+
+import (
+	"fmt"
+	"time"
+
+	"pimentospread"
+	"pimentospread/policy"
+	"pimentospread/pool"
+	"pimentospread/service"
+)
+
+// Publication is what is new about a release besides its objects.
+type Publication struct {
+	ID        pimentospread.PublishID
+	At        time.Time
+	Publisher string
+	// Seed is used for the first release of a cell only.
+	Seed uint64
+}
+
+// Next returns the release that follows current when the set is published. It
+// assigns identifiers that were never used before to new services and targets,
+// and the epochs of each pool. A nil current makes the first release. Faults
+// mean that the set can't be published.
+func Next(current *Release, set Set, p Publication) (Release, []pimentospread.Fault) {
+	set = set.withDefaults()
+	faults := append(set.Check(), set.checkAssigned()...)
+	if len(faults) > 0 {
+		return Release{}, faults
+	}
+	next := Release{
+		Generation: 1, PublishID: p.ID, PublishedAt: p.At, Publisher: p.Publisher,
+		Seed: p.Seed, NextServiceID: 1, NextTargetID: 1,
+	}
+	if current != nil {
+		next.Generation = current.Generation + 1
+		next.Seed = current.Seed
+		next.NextServiceID = current.NextServiceID
+		next.NextTargetID = current.NextTargetID
+	} else {
+		current = &Release{}
+	}
+	next.Set = Set{Policies: set.Policies}
+	next.assignServices(current, set.Services)
+	next.assignPools(current, set)
+	if next.NextServiceID > pimentospread.MaxServiceID+1 {
+		return Release{}, []pimentospread.Fault{pimentospread.Faultf("Services", "no service identifier is left")}
+	}
+	return next, nil
+}
+
+func (r *Release) assignServices(current *Release, services []service.Service) {
+	for _, s := range services {
+		if old, ok := current.Set.Service(s.Name); ok && old.Pool == s.Pool {
+			s.ID = old.ID
+		} else {
+			s.ID = r.NextServiceID
+			r.NextServiceID++
+		}
+		r.Set.Services = append(r.Set.Services, s)
+	}
+}
+
+func (r *Release) assignPools(current *Release, set Set) {
+	for _, p := range set.TargetPools {
+		old, known := current.Set.Pool(p.Name)
+		next := pool.Pool{Name: p.Name}
+		for _, t := range p.Targets {
+			t.ID = r.targetID(old, t)
+			next.Targets = append(next.Targets, t)
+		}
+		var previous *pool.Pool
+		if known {
+			previous = &old
+		}
+		next.Epochs = pool.NextEpochs(previous, next, r.PublishedAt, set.idleTimeout(p.Name))
+		r.Set.TargetPools = append(r.Set.TargetPools, next)
+	}
+}
+
+// targetID keeps the identifier of a target that stays at its addresses. A
+// target that moved counts as a new one, so that packets for its predecessor
+// do not reach it.
+func (r *Release) targetID(old pool.Pool, t pool.Target) pimentospread.TargetID {
+	was, ok := old.Find(t.Name)
+	if ok && was.FlowAddress == t.FlowAddress && was.RequestAddress == t.RequestAddress {
+		return was.ID
+	}
+	id := r.NextTargetID
+	r.NextTargetID++
+	return id
+}
+
+// idleTimeout returns the longest idle timeout of the services of a pool.
+func (s Set) idleTimeout(name pimentospread.PoolName) time.Duration {
+	longest := policy.Defaults().IdleTimeout.Duration
+	first := true
+	for _, v := range s.Services {
+		if v.Pool != name {
+			continue
+		}
+		p, ok := s.Policy(v.Policy)
+		if ok && (first || p.IdleTimeout.Duration > longest) {
+			longest, first = p.IdleTimeout.Duration, false
+		}
+	}
+	return longest
+}
+
+// checkAssigned refuses values that only publishing may assign.
+func (s Set) checkAssigned() []pimentospread.Fault {
+	var faults []pimentospread.Fault
+	for i, v := range s.Services {
+		if v.ID != 0 {
+			faults = append(faults, pimentospread.Faultf(fmt.Sprintf("Services[%d].ID", i), "is assigned by publishing"))
+		}
+	}
+	for i, p := range s.TargetPools {
+		path := fmt.Sprintf("TargetPools[%d]", i)
+		if len(p.Epochs) > 0 {
+			faults = append(faults, pimentospread.Faultf(path+".Epochs", "are assigned by publishing"))
+		}
+		for j, t := range p.Targets {
+			if t.ID != 0 {
+				faults = append(faults, pimentospread.Faultf(fmt.Sprintf("%s.Targets[%d].ID", path, j), "is assigned by publishing"))
+			}
+		}
+	}
+	return faults
+}
+
+// withDefaults fills in what the operator may leave out.
+func (s Set) withDefaults() Set {
+	out := Set{Services: s.Services}
+	for _, p := range s.Policies {
+		out.Policies = append(out.Policies, p.WithDefaults())
+	}
+	for _, p := range s.TargetPools {
+		targets := append([]pool.Target(nil), p.Targets...)
+		for i := range targets {
+			if targets[i].State == "" {
+				targets[i].State = pool.Active
+			}
+		}
+		p.Targets = targets
+		out.TargetPools = append(out.TargetPools, p)
+	}
+	return out
+}
+
+// Content returns the set without what publishing assigned, as an operator
+// would write it. Rollback and changes start from it.
+func (r Release) Content() Set {
+	out := Set{Policies: r.Set.Policies}
+	for _, v := range r.Set.Services {
+		v.ID = 0
+		out.Services = append(out.Services, v)
+	}
+	for _, p := range r.Set.TargetPools {
+		plain := pool.Pool{Name: p.Name}
+		for _, t := range p.Targets {
+			t.ID = 0
+			plain.Targets = append(plain.Targets, t)
+		}
+		out.TargetPools = append(out.TargetPools, plain)
+	}
+	return out
+}
--- a/release/release.go
+++ b/release/release.go
@@ -1,6 +1,7 @@
 package release
 
 import (
+	"encoding/json"
 	"time"
 
 	"pimentospread"
@@ -19,3 +20,18 @@
 	NextTargetID  pimentospread.TargetID  `json:"NextTargetID"`
 	Set           Set                     `json:"Set"`
 }
+
+// Decode reads a release and checks that it is one that publishing can have made.
+func Decode(data []byte) (*Release, error) {
+	var r Release
+	if err := json.Unmarshal(data, &r); err != nil {
+		return nil, pimentospread.At(pimentospread.ErrInvalid.Wrap(err, "release is not valid JSON"), "decode", "")
+	}
+	if r.Generation == 0 || r.PublishID == "" {
+		return nil, pimentospread.At(pimentospread.ErrInvalid.New("release has no generation or no publish identifier"), "decode", "")
+	}
+	if faults := r.Set.Check(); len(faults) > 0 {
+		return nil, pimentospread.At(pimentospread.ErrInvalid.New("release %d is not consistent: %s", r.Generation, faults[0]), "decode", "")
+	}
+	return &r, nil
+}
--- /dev/null
+++ b/replay/player.go
@@ -0,0 +1,177 @@
+// Package replay feeds a recorded trace to the deciders with the recorded
+// times and counts what they decide against the stated outcomes.
+package replay
+
+import (
+	"net/netip"
+
+	"pimentospread"
+	"pimentospread/control"
+	"pimentospread/decide"
+	"pimentospread/engine"
+	"pimentospread/peer"
+	"pimentospread/release"
+	"pimentospread/trace"
+)
+
+// Player replays the events of the hosts of one cell.
+type Player struct {
+	registry peer.Registry
+	hosts    map[pimentospread.HostID]*player
+	outcome  *tracker
+}
+
+// player is one incarnation of a host.
+type player struct {
+	id       pimentospread.HostID
+	flows    []*decide.Flows
+	requests *engine.Requests
+	// configurations are what each decider goes by.
+	configurations []configuration
+	flowOut        decide.FlowActions
+	out            decide.RequestActions
+}
+
+// configuration is the release of a decider's last view, with its tables.
+type configuration struct {
+	release  *release.Release
+	services map[pimentospread.ServiceID]*decide.ServiceView
+	// active are the services of the last view by which new flows went.
+	active    map[pimentospread.ServiceID]*decide.ServiceView
+	addresses map[netip.AddrPort]pimentospread.ServiceID
+}
+
+// NewPlayer returns a player for messages of the given kinds.
+func NewPlayer(registry peer.Registry) *Player {
+	return &Player{registry: registry, hosts: map[pimentospread.HostID]*player{}, outcome: newTracker()}
+}
+
+// Play replays the events in order and returns the outcome.
+func (p *Player) Play(events []trace.Event) (Outcome, error) {
+	for _, e := range events {
+		if err := p.take(e); err != nil {
+			return Outcome{}, err
+		}
+	}
+	return p.outcome.result(), nil
+}
+
+func (p *Player) take(e trace.Event) error {
+	if e.Start != nil {
+		p.hosts[e.Host] = newPlayer(e)
+		return nil
+	}
+	h, ok := p.hosts[e.Host]
+	if !ok {
+		return pimentospread.At(pimentospread.ErrInvalid.New("event before the start of host %q", e.Host), "replay", string(e.Host))
+	}
+	if e.Stop != nil {
+		delete(p.hosts, e.Host)
+		return nil
+	}
+	if e.Decider < 0 || int(e.Decider) >= len(h.configurations) {
+		return pimentospread.At(pimentospread.ErrInvalid.New("host %q has no decider %d", e.Host, e.Decider), "replay", string(e.Host))
+	}
+	if int(e.Decider) < len(h.flows) {
+		return p.flow(h, e)
+	}
+	return p.request(h, e)
+}
+
+func newPlayer(e trace.Event) *player {
+	h := &player{id: e.Host, configurations: make([]configuration, e.Start.FlowShards+1)}
+	for i := range e.Start.FlowShards {
+		h.flows = append(h.flows, decide.NewFlows(decide.FlowsDeps{
+			Shard: i, Shards: e.Start.FlowShards, MaxFlows: e.Start.MaxFlows,
+		}))
+	}
+	h.requests = engine.NewRequests(engine.RequestsDeps{
+		Self: e.Host, Incarnation: e.Start.Incarnation, Started: e.At, Seed: e.Start.Seed,
+	})
+	return h
+}
+
+func (p *Player) flow(h *player, e trace.Event) error {
+	d := h.flows[e.Decider]
+	switch {
+	case e.View != nil:
+		v := h.configurations[e.Decider].view(h.id, e.View)
+		d.Configure(e.At, v, &h.flowOut)
+		if v.Leaving {
+			d.Leave(e.At, &h.flowOut)
+		}
+	case e.Packet != nil:
+		d.Packet(e.At, *e.Packet, encodePacket(*e.Packet), &h.flowOut)
+	case e.Peer != nil:
+		in, err := p.inbound(e)
+		if err != nil {
+			return err
+		}
+		d.Peer(e.At, in, &h.flowOut)
+	default:
+		d.Tick(e.At, &h.flowOut)
+	}
+	p.outcome.flowActions(h.configurations[e.Decider].services, &h.flowOut)
+	h.flowOut.Clear()
+	return nil
+}
+
+func (p *Player) request(h *player, e trace.Event) error {
+	d := h.requests
+	switch {
+	case e.View != nil:
+		v := h.configurations[e.Decider].view(h.id, e.View)
+		d.Configure(e.At, v, &h.out)
+		if v.Leaving {
+			d.Leave(e.At, &h.out)
+		}
+	case e.Request != nil:
+		p.outcome.asked(*e.Request)
+		d.Arrive(e.At, *e.Request, &h.out)
+	case e.Answer != nil:
+		p.outcome.answered(*e.Answer)
+		d.Answer(e.At, *e.Answer, &h.out)
+	case e.Report != nil:
+		l := e.Report.LoadReport
+		l.Target, l.At = e.Report.Target, e.Report.At
+		d.Report(e.At, l)
+	case e.Peer != nil:
+		in, err := p.inbound(e)
+		if err != nil {
+			return err
+		}
+		d.Peer(e.At, in, &h.out)
+	default:
+		d.Tick(e.At, &h.out)
+	}
+	p.outcome.requestActions(&h.out)
+	h.out.Clear()
+	return nil
+}
+
+// view makes the view that the decider had, with the tables of its release.
+func (c *configuration) view(self pimentospread.HostID, v *trace.View) *decide.View {
+	if v.Release != nil {
+		built := (&control.Build{Content: &control.Content{Release: v.Release}, Services: c.active}).Run()
+		c.release, c.services = v.Release, built.Services
+		c.addresses = map[netip.AddrPort]pimentospread.ServiceID{}
+		for id, s := range c.services {
+			for _, a := range s.Service.Addresses {
+				c.addresses[a] = id
+			}
+		}
+	}
+	if v.Active {
+		c.active = c.services
+	}
+	return v.Decide(self, c.release, c.services, c.addresses)
+}
+
+func (p *Player) inbound(e trace.Event) (pimentospread.Inbound, error) {
+	in, _, err := p.registry.Decode(e.Peer.Frame)
+	if err != nil {
+		return in, err
+	}
+	in.From, in.Incarnation = e.Peer.From, e.Peer.Incarnation
+	return in, nil
+}
--- /dev/null
+++ b/settings/check.go
@@ -0,0 +1,99 @@
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"net/url"
+
+	"pimentospread"
+)
+
+const (
+	maxFlowShards   = 64
+	maxRingCapacity = 1 << 20
+)
+
+// Decode reads settings over the defaults. It refuses unknown fields and
+// returns every fault of the values at once.
+func Decode(data []byte) (Settings, []pimentospread.Fault, error) {
+	s := DefaultSettings()
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&s); err != nil {
+		return Settings{}, nil, pimentospread.At(pimentospread.ErrInvalid.Wrap(err, "settings are not valid"), "decode", "")
+	}
+	return s, s.Check(), nil
+}
+
+// Check returns every fault of the settings.
+func (s Settings) Check() []pimentospread.Fault {
+	var c checker
+	c.required("Host", string(s.Host))
+	c.required("Cell", string(s.Cell))
+	c.required("FailureDomain", string(s.FailureDomain))
+	c.address("DataAddress", s.DataAddress)
+	c.address("RequestAddress", s.RequestAddress)
+	c.address("PeerAddress", s.PeerAddress)
+	c.address("AdminAddress", s.AdminAddress)
+	if s.AdminAddress.IsValid() && !s.AdminAddress.Addr().IsLoopback() && !s.AllowRemoteAdmin {
+		c.fault("AdminAddress", "%s is not a loopback address and AllowRemoteAdmin is false", s.AdminAddress)
+	}
+	if !s.FabricAddress.IsValid() || s.FabricAddress.Port() == 0 {
+		c.fault("FabricAddress", "%q is not an address with a port", s.FabricAddress)
+	}
+	if u, err := url.Parse(s.PlatformURL); err != nil || u.Host == "" {
+		c.fault("PlatformURL", "%q is not a URL with a host", s.PlatformURL)
+	}
+	for i, seed := range s.Seeds {
+		c.required(fmt.Sprintf("Seeds[%d].Host", i), string(seed.Host))
+		c.address(fmt.Sprintf("Seeds[%d].PeerAddress", i), seed.PeerAddress)
+	}
+	c.between("FlowShards", s.FlowShards, 1, maxFlowShards)
+	c.between("RingCapacity", s.RingCapacity, 1, maxRingCapacity)
+	c.positive("ProbeInterval", s.ProbeInterval)
+	c.positive("ProbeTimeout", s.ProbeTimeout)
+	c.positive("ShutdownGrace", s.ShutdownGrace)
+	if s.LogFormat != "json" && s.LogFormat != "text" {
+		c.fault("LogFormat", "%q is neither json nor text", s.LogFormat)
+	}
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(s.LogLevel)); err != nil {
+		c.fault("LogLevel", "%q is not one of debug, info, warn, error", s.LogLevel)
+	}
+	return c.faults
+}
+
+type checker struct {
+	faults []pimentospread.Fault
+}
+
+func (c *checker) fault(path, format string, args ...any) {
+	c.faults = append(c.faults, pimentospread.Faultf(path, format, args...))
+}
+
+func (c *checker) required(path, value string) {
+	if value == "" {
+		c.fault(path, "is required")
+	}
+}
+
+func (c *checker) address(path string, value netip.AddrPort) {
+	if !value.IsValid() {
+		c.fault(path, "is not an address with a port")
+	}
+}
+
+func (c *checker) between(path string, value, low, high int) {
+	if value < low || value > high {
+		c.fault(path, "is %d, must be between %d and %d", value, low, high)
+	}
+}
+
+func (c *checker) positive(path string, value pimentospread.Duration) {
+	if value.Duration <= 0 {
+		c.fault(path, "is %s, must be above 0s", value)
+	}
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,82 @@
+// Package settings holds the settings of an entry host.
+package settings
+
+import (
+	"net/netip"
+	"time"
+
+	"pimentospread"
+)
+
+// Settings are all that an entry host is told at its start. They are written
+// in JSON; a field that is left out keeps its default.
+type Settings struct {
+	// Host is the name of this entry host, unique in its cell. Required.
+	Host pimentospread.HostID `json:"Host"`
+	// Cell is the group of hosts that serve the same addresses. Required.
+	Cell pimentospread.Cell `json:"Cell"`
+	// Region is the region of the host, for logs and reports.
+	Region pimentospread.Region `json:"Region"`
+	// FailureDomain is the failure domain of the host. Required.
+	FailureDomain pimentospread.FailureDomain `json:"FailureDomain"`
+	// DataAddress takes VXLAN packets over UDP from the fabric and the targets.
+	DataAddress netip.AddrPort `json:"DataAddress"`
+	// RequestAddress is the UDP address from which requests are sent to targets.
+	RequestAddress netip.AddrPort `json:"RequestAddress"`
+	// PeerAddress is the TCP address for the other hosts of the cell.
+	PeerAddress netip.AddrPort `json:"PeerAddress"`
+	// AdminAddress is the TCP address of the administration API, metrics and health.
+	AdminAddress netip.AddrPort `json:"AdminAddress"`
+	// AllowRemoteAdmin permits an AdminAddress that is not a loopback address.
+	AllowRemoteAdmin bool `json:"AllowRemoteAdmin"`
+	// AdminToken is the bearer token that changes need. Without one every change is refused.
+	AdminToken string `json:"AdminToken"`
+	// FabricAddress is the UDP address to which packets for callers are sent. Required.
+	FabricAddress netip.AddrPort `json:"FabricAddress"`
+	// PlatformURL is the base URL of the platform's object API. Required.
+	PlatformURL string `json:"PlatformURL"`
+	// Seeds are peers from which a host learns the cell while the platform is down.
+	Seeds []Seed `json:"Seeds"`
+	// FlowShards is the number of duties that steer flows (count).
+	FlowShards int `json:"FlowShards"`
+	// RingCapacity is the number of items in each ring between duties (count).
+	RingCapacity int `json:"RingCapacity"`
+	// ProbeInterval is the time between two probes of a target.
+	ProbeInterval pimentospread.Duration `json:"ProbeInterval"`
+	// ProbeTimeout is the time after which a probe without an answer has failed.
+	ProbeTimeout pimentospread.Duration `json:"ProbeTimeout"`
+	// ShutdownGrace bounds the time from SIGTERM to the end of the process.
+	ShutdownGrace pimentospread.Duration `json:"ShutdownGrace"`
+	// LogFormat is "json" or "text".
+	LogFormat string `json:"LogFormat"`
+	// LogLevel is "debug", "info", "warn" or "error".
+	LogLevel string `json:"LogLevel"`
+	// TracePath, when set, is the file to which the host writes a trace of its events.
+	TracePath string `json:"TracePath"`
+}
+
+// Seed is a peer that is known without the platform.
+type Seed struct {
+	// Host is the name of the peer.
+	Host pimentospread.HostID `json:"Host"`
+	// PeerAddress is the peer's TCP address.
+	PeerAddress netip.AddrPort `json:"PeerAddress"`
+}
+
+// DefaultSettings returns the settings of a host that is told nothing.
+func DefaultSettings() Settings {
+	loopback := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), 0)
+	return Settings{
+		DataAddress:    loopback,
+		RequestAddress: loopback,
+		PeerAddress:    loopback,
+		AdminAddress:   loopback,
+		FlowShards:     2,
+		RingCapacity:   4096,
+		ProbeInterval:  pimentospread.Duration{Duration: time.Second},
+		ProbeTimeout:   pimentospread.Duration{Duration: 500 * time.Millisecond},
+		ShutdownGrace:  pimentospread.Duration{Duration: 30 * time.Second},
+		LogFormat:      "json",
+		LogLevel:       "info",
+	}
+}
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,60 @@
+package settings_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"pimentospread/settings"
+)
+
+const sound = `{"Host":"neg-1","Cell":"trust","FailureDomain":"lk-west-neg",` +
+	`"FabricAddress":"127.0.0.1:4789","PlatformURL":"http://127.0.0.1:8500"`
+
+// Guards against settings that start a host although a value is wrong, and
+// against a check that reports only the first fault.
+func TestDecode(t *testing.T) {
+	tests := map[string]struct {
+		text    string
+		faults  []string
+		invalid bool
+	}{
+		"sound":                 {text: sound + `}`},
+		"unknown field":         {text: sound + `,"Hots":"x"}`, invalid: true},
+		"number without a unit": {text: sound + `,"ShutdownGrace":30}`, invalid: true},
+		"every fault at once": {
+			text: `{"FlowShards":0,"ProbeTimeout":"0s","LogLevel":"loud","AdminAddress":"192.0.2.1:80"}`,
+			faults: []string{
+				"Host: is required", "Cell: is required", "FailureDomain: is required",
+				"AdminAddress: 192.0.2.1:80 is not a loopback address and AllowRemoteAdmin is false",
+				`FabricAddress: "invalid AddrPort" is not an address with a port`,
+				`PlatformURL: "" is not a URL with a host`,
+				"FlowShards: is 0, must be between 1 and 64",
+				"ProbeTimeout: is 0s, must be above 0s",
+				`LogLevel: "loud" is not one of debug, info, warn, error`,
+			},
+		},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, faults, err := settings.Decode([]byte(tc.text))
+			if (err != nil) != tc.invalid {
+				t.Fatalf("error %v, want an error: %t", err, tc.invalid)
+			}
+			var got []string
+			for _, f := range faults {
+				got = append(got, f.String())
+			}
+			if diff := cmp.Diff(tc.faults, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+func ExampleDecode() {
+	s, faults, err := settings.Decode([]byte(sound + `,"ShutdownGrace":"45s"}`))
+	fmt.Println(s.Host, s.ShutdownGrace, len(faults), err)
+	// Output: neg-1 45s 0 <nil>
+}
--- /dev/null
+++ b/trace/event.go
@@ -0,0 +1,117 @@
+// Package trace records what the deciders of a host are given, so that a fault
+// seen on a running host can be replayed.
+package trace
+
+import (
+	"net/netip"
+	"time"
+
+	"pimentospread"
+	"pimentospread/decide"
+	"pimentospread/flow"
+	"pimentospread/member"
+	"pimentospread/release"
+	"pimentospread/request"
+)
+
+// Decider numbers the decider of a host that took an event: the flow shards
+// from 0, then the requests decider.
+type Decider int
+
+// Event is one input of a decider. Exactly one of the pointers is set.
+type Event struct {
+	At      time.Time            `json:"At"`
+	Host    pimentospread.HostID `json:"Host"`
+	Decider Decider              `json:"Decider"`
+
+	Start   *Start           `json:"Start,omitempty"`
+	View    *View            `json:"View,omitempty"`
+	Packet  *flow.Packet     `json:"Packet,omitempty"`
+	Request *request.Request `json:"Request,omitempty"`
+	Answer  *request.Answer  `json:"Answer,omitempty"`
+	Report  *Report          `json:"Report,omitempty"`
+	Peer    *Peer            `json:"Peer,omitempty"`
+	Tick    *struct{}        `json:"Tick,omitempty"`
+	Stop    *struct{}        `json:"Stop,omitempty"`
+}
+
+// Start is the start of a host.
+type Start struct {
+	Incarnation pimentospread.Incarnation `json:"Incarnation"`
+	FlowShards  int                       `json:"FlowShards"`
+	MaxFlows    int                       `json:"MaxFlows"`
+	Seed        uint64                    `json:"Seed"`
+}
+
+// Report is the load report of a target.
+type Report struct {
+	pimentospread.LoadReport
+	Target pimentospread.TargetID `json:"Target"`
+	At     time.Time              `json:"At"`
+}
+
+// Peer is a message of another host as it was received.
+type Peer struct {
+	From        pimentospread.HostID      `json:"From"`
+	Incarnation pimentospread.Incarnation `json:"Incarnation"`
+	// Frame is the encoded message.
+	Frame []byte `json:"Frame"`
+}
+
+// View is a decide.View without what follows from the release.
+type View struct {
+	Sequence    uint64                    `json:"Sequence"`
+	Incarnation pimentospread.Incarnation `json:"Incarnation"`
+	// Release is left out when the host's last view had the same generation.
+	Release         *release.Release                `json:"Release,omitempty"`
+	Generation      pimentospread.Generation        `json:"Generation"`
+	Active          bool                            `json:"Active"`
+	Live            []member.Candidate              `json:"Live"`
+	Roster          Roster                          `json:"Roster"`
+	PreviousRoster  Roster                          `json:"PreviousRoster"`
+	RosterHeld      request.Held                    `json:"RosterHeld,omitempty"`
+	RosterChangedAt time.Time                       `json:"RosterChangedAt"`
+	Flagged         map[pimentospread.TargetID]bool `json:"Flagged,omitempty"`
+	Avoided         map[pimentospread.TargetID]bool `json:"Avoided,omitempty"`
+	Draining        map[pimentospread.TargetID]bool `json:"Draining,omitempty"`
+	Ready           bool                            `json:"Ready"`
+	Unsettled       bool                            `json:"Unsettled"`
+	CutOff          bool                            `json:"CutOff"`
+	Leaving         bool                            `json:"Leaving"`
+}
+
+// Roster is a member.Roster with its version.
+type Roster struct {
+	Version pimentospread.ObjectVersion `json:"Version"`
+	Hosts   []member.Host               `json:"Hosts"`
+}
+
+func rosterOf(r member.Roster) Roster { return Roster{Version: r.Version, Hosts: r.Hosts} }
+
+func (r Roster) roster() member.Roster { return member.Roster{Version: r.Version, Hosts: r.Hosts} }
+
+// ViewOf returns the event body of a view. last is the generation of the host's view before.
+func ViewOf(v *decide.View, last pimentospread.Generation) *View {
+	t := &View{
+		Sequence: v.Sequence, Incarnation: v.Incarnation, Generation: v.Generation(), Active: v.Active, Live: v.Live,
+		Roster: rosterOf(v.Roster), PreviousRoster: rosterOf(v.PreviousRoster),
+		RosterHeld: v.RosterHeld, RosterChangedAt: v.RosterChangedAt,
+		Flagged: v.Flagged, Avoided: v.Avoided, Draining: v.Draining,
+		Ready: v.Ready, Unsettled: v.Unsettled, CutOff: v.CutOff, Leaving: v.Leaving,
+	}
+	if t.Generation != last {
+		t.Release = v.Release
+	}
+	return t
+}
+
+// Decide returns the view with the services and addresses of its release.
+func (t *View) Decide(self pimentospread.HostID, r *release.Release, services map[pimentospread.ServiceID]*decide.ServiceView, addresses map[netip.AddrPort]pimentospread.ServiceID) *decide.View {
+	return &decide.View{
+		Sequence: t.Sequence, Self: self, Incarnation: t.Incarnation, Release: r, Services: services, ByAddress: addresses,
+		Active: t.Active, Live: t.Live, Roster: t.Roster.roster(), PreviousRoster: t.PreviousRoster.roster(),
+		RosterHeld: t.RosterHeld, RosterChangedAt: t.RosterChangedAt,
+		Flagged: t.Flagged, Avoided: t.Avoided, Draining: t.Draining,
+		Ready: t.Ready, Unsettled: t.Unsettled, CutOff: t.CutOff, Leaving: t.Leaving,
+	}
+}
