Add the stand-ins of platform, fabric, targets and callers

Cause: nothing of what surrounds the hosts exists on a developer's machine, and a demo needs ledgers on both sides to prove what became of each request. Change: cmd/standin runs a platform (object API with faults and call counts), a fabric that sprays packets over ready hosts, targets with flow, request, health and administration endpoints, and callers with a plan. "standin outcome" compares the ledgers and fails on a broken invariant. The error of a target now reaches the caller in place of the reason.

--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,42 @@
+// Command standin runs small stand-ins of what surrounds the load balancer:
+// the platform, the fabric, targets and callers. It is for demos and tests.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"pimentospread/standin/caller"
+	"pimentospread/standin/fabric"
+	"pimentospread/standin/ledger"
+	"pimentospread/standin/platform"
+	"pimentospread/standin/target"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	root := &cli.Command{
+		Name:      "standin",
+		Usage:     "stand-ins for demos and tests, on loopback only",
+		Writer:    os.Stdout,
+		ErrWriter: os.Stderr,
+		Commands: []*cli.Command{
+			platform.Command(),
+			fabric.Command(),
+			target.Command(),
+			target.SetCommand(),
+			caller.Command(),
+			ledger.Command(),
+		},
+	}
+	if err := root.Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- a/coap/reply.go
+++ b/coap/reply.go
@@ -13,11 +13,12 @@
 const notRun = "not run"
 
 // EncodeReply writes a reply to a caller. The first part of an answer to a
-// confirmable request is carried by the acknowledgement; all others are
-// messages of their own.
+// confirmable request, and any other outcome of it, is carried by the
+// acknowledgement; further parts are messages of their own. The error of a
+// target is passed on instead of the reason.
 func (e *Encoder) EncodeReply(r request.Reply) ([]byte, error) {
 	m := message.Message{Type: message.NonConfirmable, Token: r.Origin.Token, Payload: []byte(r.Reason)}
-	if r.Origin.Confirmable && r.Part.Number == 0 {
+	if r.Origin.Confirmable && (r.Outcome != request.Answered || r.Part.Number == 0) {
 		m.Type, m.MessageID = message.Acknowledgement, int32(r.Origin.MessageID)
 	} else {
 		m.MessageID = int32(e.messageID())
@@ -31,6 +32,9 @@
 		m.Code, m.Options, m.Payload = codes.Content, options, r.Part.Payload
 	case request.TargetFailed:
 		m.Code = codes.InternalServerError
+		if len(r.Part.Payload) > 0 {
+			m.Payload = r.Part.Payload
+		}
 	case request.NotRun:
 		m.Code, m.Payload = codes.ServiceUnavailable, []byte(notRun)
 	case request.Unknown:
--- /dev/null
+++ b/standin/caller/plan.go
@@ -0,0 +1,141 @@
+// Package caller is a small stand-in of callers: it opens flows and sends
+// requests through the fabric and notes what became of them.
+package caller
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"pimentospread"
+)
+
+const (
+	maxFlows    = 100_000
+	maxRate     = 20_000
+	maxDuration = 10 * time.Minute
+	maxCallers  = 60_000
+)
+
+// Plan says what the callers do.
+type Plan struct {
+	// Process keeps the addresses and identifiers of several caller processes apart; it is below 256.
+	Process  uint8    `json:"Process"`
+	Services []Target `json:"Services"`
+	Requests []Work   `json:"Requests"`
+	// Callers is the number of distinct callers of requests.
+	Callers int `json:"Callers"`
+	// OpenRate is the number of flows that are opened in a second.
+	OpenRate int `json:"OpenRate"`
+	// KeepAlive is the time between two small packets of a flow.
+	KeepAlive pimentospread.Duration `json:"KeepAlive"`
+	// SilentAfter is how long a packet of a flow may go unacknowledged before the flow counts as broken.
+	SilentAfter pimentospread.Duration `json:"SilentAfter"`
+	// Duration bounds the sending of new work; afterwards open requests and flows are awaited.
+	Duration pimentospread.Duration `json:"Duration"`
+	// AnswerSize is the length of a whole answer, as the targets give it.
+	AnswerSize int `json:"AnswerSize"`
+}
+
+// Target is a service to which flows are opened.
+type Target struct {
+	Name    pimentospread.ServiceName `json:"Name"`
+	Address netip.AddrPort            `json:"Address"`
+	Flows   int                       `json:"Flows"`
+}
+
+// Work is a stream of requests of one class.
+type Work struct {
+	Class   pimentospread.Class       `json:"Class"`
+	Service pimentospread.ServiceName `json:"Service"`
+	// Rate is the number of requests in a second.
+	Rate int `json:"Rate"`
+	// Deadline is the time that a request has.
+	Deadline   pimentospread.Duration `json:"Deadline"`
+	Idempotent bool                   `json:"Idempotent"`
+	// After is when the stream starts, and For how long it lasts; zero means to the end.
+	After pimentospread.Duration `json:"After"`
+	For   pimentospread.Duration `json:"For"`
+}
+
+// DecodePlan reads a plan and refuses unknown fields and values out of bounds.
+func DecodePlan(data []byte) (Plan, error) {
+	p := Plan{
+		Callers: 100, OpenRate: 200, AnswerSize: 2500,
+		KeepAlive:   pimentospread.Duration{Duration: 2 * time.Second},
+		SilentAfter: pimentospread.Duration{Duration: 10 * time.Second},
+		Duration:    pimentospread.Duration{Duration: 30 * time.Second},
+	}
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&p); err != nil {
+		return Plan{}, pimentospread.At(pimentospread.ErrInvalid.Wrap(err, "plan"), "decode", "")
+	}
+	if faults := p.Check(); len(faults) > 0 {
+		return Plan{}, pimentospread.At(pimentospread.ErrInvalid.New("plan: %v", faults), "check", "")
+	}
+	return p, nil
+}
+
+// Check returns the faults of the plan.
+func (p Plan) Check() []pimentospread.Fault {
+	var faults []pimentospread.Fault
+	add := func(bad bool, path, format string, args ...any) {
+		if bad {
+			faults = append(faults, pimentospread.Faultf(path, format, args...))
+		}
+	}
+	names := map[pimentospread.ServiceName]bool{}
+	flows, rate := 0, 0
+	for i, s := range p.Services {
+		path := fmt.Sprintf("Services[%d]", i)
+		add(names[s.Name], path+".Name", "%q appears twice", s.Name)
+		add(!s.Address.IsValid() || !s.Address.Addr().Is4(), path+".Address", "%q is not an IPv4 address with a port", s.Address)
+		add(s.Flows < 0, path+".Flows", "is below zero")
+		names[s.Name] = true
+		flows += s.Flows
+	}
+	for i, w := range p.Requests {
+		path := fmt.Sprintf("Requests[%d]", i)
+		add(!names[w.Service], path+".Service", "%q is not in Services", w.Service)
+		add(w.Rate <= 0, path+".Rate", "must be above zero, is %d", w.Rate)
+		add(w.Deadline.Duration <= 0, path+".Deadline", "must be above zero, is %s", w.Deadline)
+		rate += w.Rate
+	}
+	add(flows > maxFlows, "Services", "%d flows are more than %d", flows, maxFlows)
+	add(rate > maxRate, "Requests", "%d requests a second are more than %d", rate, maxRate)
+	add(p.Callers < 1 || p.Callers > maxCallers, "Callers", "must be between 1 and %d, is %d", maxCallers, p.Callers)
+	add(p.OpenRate < 1, "OpenRate", "must be above zero, is %d", p.OpenRate)
+	add(p.KeepAlive.Duration <= 0, "KeepAlive", "must be above zero, is %s", p.KeepAlive)
+	add(p.SilentAfter.Duration <= 0, "SilentAfter", "must be above zero, is %s", p.SilentAfter)
+	add(p.Duration.Duration <= 0 || p.Duration.Duration > maxDuration, "Duration", "must be above zero and at most %s, is %s", maxDuration, p.Duration)
+	return faults
+}
+
+// service returns the service of the given name. Check has made sure that it exists.
+func (p Plan) service(name pimentospread.ServiceName) Target {
+	for _, s := range p.Services {
+		if s.Name == name {
+			return s
+		}
+	}
+	return Target{}
+}
+
+// flowAddress returns the inner address of the nth flow, from the range for
+// benchmarks (RFC 2544).
+func (p Plan) flowAddress(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, p.Process, byte(n%250 + 1)}), uint16(10_000+n/250))
+}
+
+// callerAddress returns the inner address of the nth caller of requests.
+func (p Plan) callerAddress(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 19, p.Process, byte(n%250 + 1)}), uint16(10_000+n/250))
+}
+
+// callerID returns the identifier of the nth caller of requests.
+func (p Plan) callerID(n int) pimentospread.CallerID {
+	return pimentospread.CallerID(uint64(p.Process)<<32 | uint64(n+1))
+}
--- /dev/null
+++ b/standin/ledger/outcome_test.go
@@ -0,0 +1,60 @@
+package ledger_test
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"pimentospread"
+	"pimentospread/standin/ledger"
+)
+
+func id(n uint64) pimentospread.RequestID { return pimentospread.RequestID{Caller: 1, Sequence: n} }
+
+// Guards against a demo that passes although an invariant was broken.
+func TestFaultsNameBrokenInvariants(t *testing.T) {
+	ask := func(n uint64, told ledger.Told, change func(*ledger.Asked)) ledger.Asked {
+		a := ledger.Asked{Request: id(n), Class: "bid", Told: told}
+		if change != nil {
+			change(&a)
+		}
+		return a
+	}
+	run := func(n uint64) ledger.Run { return ledger.Run{Request: id(n), Class: "bid"} }
+	tests := map[string]struct {
+		asked  []ledger.Asked
+		flows  ledger.Flows
+		target ledger.Target
+		want   []string
+	}{
+		"answered once":                  {asked: []ledger.Asked{ask(1, ledger.Answered, nil)}, target: ledger.Target{Runs: []ledger.Run{run(1)}}},
+		"unknown that ran":               {asked: []ledger.Asked{ask(1, ledger.Unknown, nil)}, target: ledger.Target{Runs: []ledger.Run{run(1)}}},
+		"run twice":                      {[]ledger.Asked{ask(1, ledger.Answered, nil)}, ledger.Flows{}, ledger.Target{Runs: []ledger.Run{run(1), run(1)}}, []string{"1 non-idempotent requests run twice"}},
+		"idempotent run twice":           {asked: []ledger.Asked{ask(1, ledger.Answered, func(a *ledger.Asked) { a.Idempotent = true })}, target: ledger.Target{Runs: []ledger.Run{run(1), run(1)}}},
+		"not run that ran":               {[]ledger.Asked{ask(1, ledger.NotRun, nil)}, ledger.Flows{}, ledger.Target{Runs: []ledger.Run{run(1)}}, []string{"1 requests reported not run that ran"}},
+		"answered without a run":         {[]ledger.Asked{ask(1, ledger.Answered, nil)}, ledger.Flows{}, ledger.Target{}, []string{"1 answered requests of class bid that no target ran"}},
+		"wrong answer and contradiction": {[]ledger.Asked{ask(1, ledger.Unknown, func(a *ledger.Asked) { a.Wrong, a.Contradicted = true, true })}, ledger.Flows{}, ledger.Target{}, []string{"1 wrong or incomplete answers", "1 replies that contradict an earlier one"}},
+		"broken flows":                   {nil, ledger.Flows{Service: "s", Opened: 3, Held: 1, Broken: 2}, ledger.Target{}, []string{"2 broken flows to s"}},
+		"misdelivered and late":          {nil, ledger.Flows{Service: "s", Opened: 1, Held: 1}, ledger.Target{Misdelivered: 4, Late: 5}, []string{"4 misdelivered packets", "5 pieces of new work at a draining target after the grace"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := ledger.Caller{Requests: tt.asked, Flows: []ledger.Flows{tt.flows}}
+			if diff := cmp.Diff(tt.want, ledger.Compare([]ledger.Caller{c}, []ledger.Target{tt.target}).Faults()); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+	if faults := ledger.Compare(nil, nil).Faults(); len(faults) == 0 {
+		t.Error("an empty run has no fault")
+	}
+}
+
+// Guards against a mean over targets that take no new flows.
+func TestImbalanceLeavesOutDrainingTargets(t *testing.T) {
+	targets := []ledger.Target{{Service: "s", Flows: 30}, {Service: "s", Flows: 10}, {Service: "s", Flows: 500, Draining: true}}
+	want := []ledger.Imbalance{{Service: "s", Targets: 2, Largest: 30, Mean: 20, Ratio: 1.5}}
+	if diff := cmp.Diff(want, ledger.Compare(nil, targets).Imbalance); diff != "" {
+		t.Error(diff)
+	}
+}
--- /dev/null
+++ b/standin/platform/command.go
@@ -0,0 +1,46 @@
+package platform
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+
+	"github.com/urfave/cli/v3"
+
+	"pimentospread/duty"
+	"pimentospread/standin/loopback"
+	"pimentospread/standin/owner"
+)
+
+// questionRoom is above the number of calls that the processes of one demo have open at a time.
+const questionRoom = 4096
+
+// Command returns the subcommand that runs the stand-in.
+func Command() *cli.Command {
+	return &cli.Command{
+		Name:  "platform",
+		Usage: "keep objects in memory behind the platform's object API",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "address", Value: "127.0.0.1:0", Usage: "loopback `ADDRESS` of the object API; port 0 is chosen by the kernel"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return run(ctx, c, slog.New(slog.NewJSONHandler(c.Root().ErrWriter, nil)))
+		},
+	}
+}
+
+func run(ctx context.Context, c *cli.Command, log *slog.Logger) error {
+	store := owner.New[*Store](questionRoom)
+	server, err := loopback.ListenHTTP(ctx, c.String("address"), NewHandler(store))
+	if err != nil {
+		return err
+	}
+	g := duty.NewGroup(ctx, log)
+	g.Go("store", func(ctx context.Context) error { return store.Run(ctx, NewStore()) })
+	g.Go("object API", server.Serve)
+	announcement := struct{ Address netip.AddrPort }{server.Address()}
+	if err := loopback.Announce(c.Root().Writer, announcement); err != nil {
+		g.Stop()
+	}
+	return g.Wait()
+}
--- /dev/null
+++ b/standin/target/target.go
@@ -0,0 +1,237 @@
+package target
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"pimentospread"
+	"pimentospread/coap"
+	"pimentospread/duty"
+	"pimentospread/packet"
+	"pimentospread/pool"
+	"pimentospread/ring"
+	"pimentospread/standin/ledger"
+	"pimentospread/standin/loopback"
+	"pimentospread/standin/owner"
+)
+
+const (
+	// packetRoom and attemptRoom bound what waits for the target's duty.
+	packetRoom  = 8192
+	attemptRoom = 1024
+	// updateTick is how often due board updates are looked for.
+	updateTick = 50 * time.Millisecond
+)
+
+// Options are what all targets of a process have in common.
+type Options struct {
+	Service     pimentospread.ServiceName
+	Fabric      netip.AddrPort
+	Slots       pimentospread.Slots
+	Connections pimentospread.Connections
+	ServiceTime time.Duration
+	// Interval is the time between two board updates to a flow.
+	Interval time.Duration
+	// AnswerSize is the length of an answer in bytes.
+	AnswerSize int
+	// Grace is how long new work may still arrive after a target began to drain.
+	Grace time.Duration
+}
+
+// Target is one stand-in target. Its duty owns all fields but the sockets and rings.
+type Target struct {
+	name       pimentospread.TargetName
+	domain     pimentospread.FailureDomain
+	options    Options
+	flows      *Flows
+	requests   *Requests
+	switches   Switches
+	identity   Identity
+	drainedAt  time.Time
+	noted      ledger.Target
+	decoder    packet.Decoder
+	frames     *packet.Encoder
+	messages   *coap.Encoder
+	flowSocket *loopback.Socket
+	askSocket  *loopback.Socket
+	health     *loopback.Server
+	packets    *ring.Ring[loopback.Received]
+	attempts   *ring.Ring[loopback.Received]
+	identities *ring.Ring[Identity]
+	questions  *owner.Owner[*Target]
+}
+
+// NewTarget opens the sockets of a target.
+func NewTarget(ctx context.Context, name pimentospread.TargetName, domain pimentospread.FailureDomain, o Options) (*Target, error) {
+	t := &Target{
+		name: name, domain: domain, options: o,
+		flows: NewFlows(o.Connections, o.Interval), requests: NewRequests(o),
+		frames: packet.NewEncoder(), messages: coap.NewEncoder(0),
+		packets:    ring.New[loopback.Received](packetRoom, ring.DropOldest),
+		attempts:   ring.New[loopback.Received](attemptRoom, ring.DropOldest),
+		identities: ring.New[Identity](1, ring.DropOldest),
+		questions:  owner.New[*Target](64),
+	}
+	var err error
+	if t.flowSocket, err = loopback.ListenUDP(ctx, "127.0.0.1:0"); err != nil {
+		return nil, err
+	}
+	if t.askSocket, err = loopback.ListenUDP(ctx, "127.0.0.1:0"); err != nil {
+		return nil, err
+	}
+	m := http.NewServeMux()
+	m.HandleFunc("GET /health", t.serveHealth)
+	t.health, err = loopback.ListenHTTP(ctx, "127.0.0.1:0", m)
+	return t, err
+}
+
+// Describe returns the target as an operator writes it.
+func (t *Target) Describe() pool.Target {
+	return pool.Target{
+		Name: t.name, FailureDomain: t.domain,
+		FlowAddress: t.flowSocket.Address(), RequestAddress: t.askSocket.Address(), HealthAddress: t.health.Address(),
+		Slots: t.options.Slots, Connections: t.options.Connections,
+	}
+}
+
+// Start starts the duties of the target.
+func (t *Target) Start(g *duty.Group) {
+	name := string(t.name)
+	g.Go(name+" packets", t.flowSocket.Each(queue(g.Context(), t.packets)))
+	g.Go(name+" attempts", t.askSocket.Each(queue(g.Context(), t.attempts)))
+	g.Go(name+" health", t.health.Serve)
+	g.Go(name, t.run)
+}
+
+func queue(ctx context.Context, to *ring.Ring[loopback.Received]) func(loopback.Received) {
+	return func(r loopback.Received) {
+		r.Data = bytes.Clone(r.Data)
+		// The ring drops the oldest datagram when it is full and never fails.
+		_ = to.Put(ctx, r)
+	}
+}
+
+// run is the duty that owns the target.
+func (t *Target) run(ctx context.Context) error {
+	updates := time.NewTicker(updateTick)
+	defer updates.Stop()
+	finish := time.NewTimer(time.Hour)
+	defer finish.Stop()
+	for {
+		if next, ok := t.requests.NextEnd(); ok {
+			finish.Reset(time.Until(next))
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case p := <-t.packets.Items():
+			t.receivePacket(time.Now(), p.Data)
+		case a := <-t.attempts.Items():
+			t.receiveAttempt(time.Now(), a)
+		case i := <-t.identities.Items():
+			t.setIdentity(i)
+		case f := <-t.questions.Questions():
+			f(t)
+		case now := <-updates.C:
+			t.sendSegments(t.flows.Updates(now, nil))
+		case <-finish.C:
+			t.sendAnswers(t.requests.Finish(time.Now(), nil))
+		}
+	}
+}
+
+func (t *Target) setIdentity(i Identity) {
+	t.identity = i
+	if !i.DrainedAt.IsZero() && t.drainedAt.IsZero() {
+		t.drainedAt = i.DrainedAt
+	}
+	if i.DrainedAt.IsZero() && !t.switches.Draining {
+		t.drainedAt = time.Time{}
+	}
+}
+
+// noteNewWork counts work that arrives too long after the target began to drain.
+func (t *Target) noteNewWork(now time.Time) {
+	if !t.drainedAt.IsZero() && now.Sub(t.drainedAt) > t.options.Grace {
+		t.noted.Late++
+	}
+}
+
+func (t *Target) receivePacket(now time.Time, data []byte) {
+	if t.identity.Target == 0 {
+		return // not registered yet, so there is no MAC to compare with
+	}
+	d, err := t.decoder.Decode(data)
+	if err != nil || d.Protocol != packet.TCP {
+		t.noted.Malformed++
+		return
+	}
+	if d.Service != t.identity.Service || d.Destination != t.identity.Target {
+		t.noted.Misdelivered++
+		return
+	}
+	opened := t.flows.Opened
+	answers := t.flows.Receive(now, d, nil)
+	if t.flows.Opened > opened {
+		t.noteNewWork(now)
+	}
+	t.sendSegments(answers)
+}
+
+func (t *Target) receiveAttempt(now time.Time, r loopback.Received) {
+	if id, err := coap.DecodeCancel(r.Data); err == nil {
+		t.sendAnswers(t.requests.Cancel(r.From, id, nil))
+		return
+	}
+	a, err := coap.DecodeAttempt(r.Data, r.From)
+	if err != nil {
+		t.noted.Malformed++
+		return
+	}
+	answer, start := t.requests.Receive(now, a, t.switches)
+	if start == Started {
+		t.noteNewWork(now)
+	}
+	if answer.To.IsValid() {
+		t.sendAnswers([]Outgoing{answer})
+	}
+}
+
+func (t *Target) sendSegments(segments []packet.Segment) {
+	for _, s := range segments {
+		inner, err := t.frames.TCP(s)
+		if err != nil {
+			continue // the addresses came from a packet of the same IP version
+		}
+		frame, err := t.frames.Encapsulate(packet.Header{Service: t.identity.Service, Source: t.identity.Target}, inner)
+		if err != nil {
+			continue
+		}
+		// A lost packet is sent again, as in any network.
+		_ = t.flowSocket.Send(frame, t.options.Fabric)
+	}
+}
+
+func (t *Target) sendAnswers(answers []Outgoing) {
+	for _, a := range answers {
+		data, err := t.messages.EncodeAnswer(a.Answer)
+		if err != nil {
+			continue // parts are cut to the size that the codec takes
+		}
+		_ = t.askSocket.Send(data, a.To)
+	}
+}
+
+// note returns the ledger of the target.
+func (t *Target) note() ledger.Target {
+	n := t.noted
+	n.Name, n.Service = t.name, t.options.Service
+	n.Runs = append([]ledger.Run(nil), t.requests.runs...)
+	n.Flows, n.OpenedFlows, n.ResetsSent = t.flows.Len(), t.flows.Opened, t.flows.ResetsSent
+	n.Shed, n.Repeated = t.requests.shed, t.requests.repeated
+	n.Draining = !t.drainedAt.IsZero()
+	return n
+}
