Find the service of a flow by its inner address

Change: the receive duty looks the address up and drops a frame that names another service; errors are logged without their stacks.

--- a/host/receive.go
+++ b/host/receive.go
@@ -74,20 +74,43 @@
 		return
 	}
 	if d.Protocol == packet.TCP {
-		p := d.FlowPacket()
-		_ = r.shards[flow.ShardOf(p.ID, len(r.shards))].packets.Put(ctx, flowPacket{packet: p, raw: d.Packet})
+		r.receiveFlow(ctx, d)
 		return
 	}
 	r.receiveRequest(ctx, d)
 }
 
+// receiveFlow hands a packet to its shard. The inner address decides on the
+// service; a frame that names another one is foreign.
+func (r *receiver) receiveFlow(ctx context.Context, d packet.Datagram) {
+	p := d.FlowPacket()
+	var service pimentospread.ServiceID
+	if r.view != nil {
+		service = r.view.ByAddress[p.Key.Service]
+	}
+	if service == 0 {
+		r.drop("unknown_service")
+		return
+	}
+	if p.Service != 0 && p.Service != service {
+		r.drop("foreign_service")
+		return
+	}
+	p.Service = service
+	_ = r.shards[flow.ShardOf(p.ID, len(r.shards))].packets.Put(ctx, flowPacket{packet: p, raw: d.Packet})
+}
+
+func (r *receiver) drop(cause string) {
+	r.metrics.Counter(`pimentospread_drops_total{cause="` + cause + `"}`).Add(1)
+}
+
 func (r *receiver) receiveRequest(ctx context.Context, d packet.Datagram) {
 	endpoint := coap.Endpoint{Address: d.To}
 	if r.view != nil {
 		endpoint.Service = r.view.ByAddress[d.To]
 	}
 	if endpoint.Service == 0 {
-		r.metrics.Counter(`pimentospread_drops_total{cause="unknown_service"}`).Add(1)
+		r.drop("unknown_service")
 		return
 	}
 	endpoint.Name = r.view.Services[endpoint.Service].Service.Name
--- a/host/serve.go
+++ b/host/serve.go
@@ -42,10 +42,19 @@
 	var level slog.Level
 	// The settings were checked; an unknown level keeps the default.
 	_ = level.UnmarshalText([]byte(s.LogLevel))
-	options := &slog.HandlerOptions{Level: level}
+	options := &slog.HandlerOptions{Level: level, ReplaceAttr: withoutStack}
 	var handler slog.Handler = slog.NewJSONHandler(w, options)
 	if s.LogFormat == "text" {
 		handler = slog.NewTextHandler(w, options)
 	}
 	return slog.New(newLimitedHandler(handler, generation)).With("host", s.Host, "failure_domain", s.FailureDomain)
 }
+
+// withoutStack writes an error as its message. The text handler would print
+// the stack that errorx keeps as well.
+func withoutStack(_ []string, a slog.Attr) slog.Attr {
+	if err, ok := a.Value.Any().(error); ok {
+		return slog.String(a.Key, err.Error())
+	}
+	return a
+}
