Word the usage of replay as the linter asks

Cause: the linter refuses an error text that ends with punctuation. Change: the text names its arguments without an ellipsis.

--- a/cmd/replay/main.go
+++ b/cmd/replay/main.go
@@ -26,7 +26,7 @@
 		args = args[1:]
 	}
 	if len(args) == 0 {
-		return fmt.Errorf("usage: replay [--json] TRACE...")
+		return fmt.Errorf("usage: replay [--json] TRACE [TRACE]")
 	}
 	var hosts [][]trace.Event
 	for _, path := range args {
