Record the inputs of the deciders as a trace

Cause: a fault seen on a running host could not be replayed, and the electors did not learn which roster the peers go by. Change: serve writes a trace when TracePath is set; the view carries the roster version that each heard peer announces.

--- a/control/view.go
+++ b/control/view.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pimentospread/decide"
+	"pimentospread/request"
 )
 
 // publish hands out a view when it differs from the last one.
@@ -22,6 +23,7 @@
 		Roster:          current,
 		PreviousRoster:  previous,
 		RosterChangedAt: changed,
+		RosterHeld:      c.rosterHeld(now),
 		Flagged:         s.flagged,
 		Avoided:         s.avoided,
 		Draining:        s.draining,
@@ -56,8 +58,18 @@
 		a.Roster.Version == b.Roster.Version &&
 		a.PreviousRoster.Version == b.PreviousRoster.Version &&
 		a.RosterChangedAt.Equal(b.RosterChangedAt) &&
+		maps.Equal(a.RosterHeld, b.RosterHeld) &&
 		slices.Equal(a.Live, b.Live) &&
 		maps.Equal(a.Flagged, b.Flagged) &&
 		maps.Equal(a.Avoided, b.Avoided) &&
 		maps.Equal(a.Draining, b.Draining)
 }
+
+// rosterHeld returns the roster version that each heard peer announces.
+func (c *Cell) rosterHeld(now time.Time) request.Held {
+	held := request.Held{}
+	for _, p := range c.members.Alive(now) {
+		held[p.Host.ID] = p.Heartbeat.RosterVersion
+	}
+	return held
+}
--- a/host/build.go
+++ b/host/build.go
@@ -24,6 +24,7 @@
 	"pimentospread/request"
 	"pimentospread/ring"
 	"pimentospread/target"
+	"pimentospread/trace"
 )
 
 const (
@@ -124,6 +125,7 @@
 			number: i, clock: h.clock, packets: packets, inbound: route.flows[i], views: views[i],
 			decider: decide.NewFlows(decide.FlowsDeps{Shard: i, Shards: h.settings.FlowShards, MaxFlows: maxFlows}),
 			control: h.control, progress: h.progress, out: out, peers: h.network, drops: newDropCounters(h.metrics),
+			recording: recording{recorder: h.recorder, host: h.settings.Host, decider: trace.Decider(i)},
 		})
 	}
 	requests := ring.NewClassed[request.Request](requestRanks, capacity)
@@ -149,9 +151,10 @@
 		attempts: attempts, replies: h.sender.out, peers: h.network,
 		encoder: h.newReplyEncoder(), drops: newDropCounters(h.metrics),
 		decider: engine.NewRequests(engine.RequestsDeps{
-			Self: h.settings.Host, Incarnation: h.incarnation, Started: h.clock.Now(),
-			Seed: rand.Uint64(), Metrics: h.metrics,
+			Self: h.settings.Host, Incarnation: h.incarnation, Started: h.started,
+			Seed: h.seed, Metrics: h.metrics,
 		}),
+		recording: recording{recorder: h.recorder, host: h.settings.Host, decider: trace.Decider(number)},
 	}
 	h.answers = &answerReceiver{socket: h.sockets.request, answers: answers, metrics: h.metrics, log: h.log}
 	h.attempts = &requestSender{
--- a/host/flows.go
+++ b/host/flows.go
@@ -38,8 +38,9 @@
 	actions  decide.FlowActions
 	view     *decide.View
 	// loaded is what the control duty was told last.
-	loaded control.ViewLoaded
-	left   bool
+	loaded    control.ViewLoaded
+	left      bool
+	recording recording
 }
 
 // progress tells the shutdown how far a decider has come.
@@ -53,18 +54,25 @@
 	ticker := time.NewTicker(flowTick)
 	defer ticker.Stop()
 	for {
-		now := s.clock.Now()
 		select {
 		case <-ctx.Done():
 			return nil
 		case p := <-s.packets.Items():
+			now := s.clock.Now()
+			s.recording.packet(ctx, now, p)
 			s.decider.Packet(now, p.packet, p.raw, &s.actions)
 		case m := <-s.inbound.Items():
+			now := s.clock.Now()
+			s.recording.inbound(ctx, now, m)
 			s.decider.Peer(now, m, &s.actions)
 		case v := <-s.views.Items():
+			now := s.clock.Now()
+			s.recording.view(ctx, now, v)
 			s.configure(now, v)
 		case <-ticker.C:
-			s.decider.Tick(s.clock.Now(), &s.actions)
+			now := s.clock.Now()
+			s.recording.tick(ctx, now)
+			s.decider.Tick(now, &s.actions)
 		}
 		s.carryOut(ctx)
 		s.report(ctx)
--- a/host/host.go
+++ b/host/host.go
@@ -4,7 +4,10 @@
 	"context"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
+	"os"
+	"time"
 
 	"github.com/joomcode/errorx"
 
@@ -15,6 +18,7 @@
 	"pimentospread/peer"
 	"pimentospread/ring"
 	"pimentospread/settings"
+	"pimentospread/trace"
 )
 
 // Deps are the dependencies of a Host.
@@ -31,7 +35,10 @@
 	log         *slog.Logger
 	metrics     *registry
 	incarnation pimentospread.Incarnation
-	sockets     sockets
+	started     time.Time
+	// seed makes the random choices of the requests decider repeatable in a replay.
+	seed    uint64
+	sockets sockets
 
 	network   *peer.Network
 	control   *control.Controller
@@ -44,6 +51,9 @@
 	reporter  *reporter
 	operator  *operator.Server
 	progress  *ring.Ring[progress]
+	// recorder is nil unless the settings name a trace file.
+	recorder  *trace.Recorder
+	traceFile io.Closer
 }
 
 // sockets are the four addresses at which a host listens.
@@ -56,13 +66,18 @@
 func New(deps Deps) (*Host, error) {
 	h := &Host{
 		settings: deps.Settings, clock: deps.Clock, metrics: newRegistry(),
-		incarnation: pimentospread.Incarnation(deps.Clock.Now().UnixNano()),
+		started: deps.Clock.Now(), seed: rand.Uint64(),
 	}
+	h.incarnation = pimentospread.Incarnation(h.started.UnixNano())
 	h.log = newLogger(deps.Settings, deps.LogOutput, h.generation)
 	if err := h.open(); err != nil {
 		h.closeSockets()
 		return nil, err
 	}
+	if err := h.openTrace(); err != nil {
+		h.closeSockets()
+		return nil, err
+	}
 	if err := h.build(); err != nil {
 		h.closeSockets()
 		return nil, err
@@ -96,7 +111,22 @@
 	return nil
 }
 
+func (h *Host) openTrace() error {
+	if h.settings.TracePath == "" {
+		return nil
+	}
+	file, err := os.Create(h.settings.TracePath)
+	if err != nil {
+		return pimentospread.At(pimentospread.ErrUnavailable.Wrap(err, "trace file cannot be written"), "open trace", "")
+	}
+	h.traceFile, h.recorder = file, trace.NewRecorder(file)
+	return nil
+}
+
 func (h *Host) closeSockets() {
+	if h.traceFile != nil {
+		_ = h.traceFile.Close()
+	}
 	if h.sockets.data != nil {
 		_ = h.sockets.data.Close()
 	}
@@ -116,6 +146,10 @@
 func (h *Host) Run(ctx context.Context) error {
 	// The duties outlive ctx, which only says that the shutdown begins.
 	g := duty.NewGroup(context.WithoutCancel(ctx), h.log)
+	if h.recorder != nil {
+		g.Go("trace", h.recorder.Run)
+		h.recordStart(ctx)
+	}
 	g.Go("peers", h.network.Run)
 	g.Go("control", h.control.Run)
 	for _, s := range h.shards {
@@ -141,4 +175,11 @@
 	return err
 }
 
+func (h *Host) recordStart(ctx context.Context) {
+	r := recording{recorder: h.recorder, host: h.settings.Host}
+	r.start(ctx, h.started, trace.Start{
+		Incarnation: h.incarnation, FlowShards: h.settings.FlowShards, MaxFlows: maxFlows, Seed: h.seed,
+	})
+}
+
 func isClosed(err error) bool { return errorx.IsOfType(err, pimentospread.ErrClosed) }
--- a/host/requests.go
+++ b/host/requests.go
@@ -20,24 +20,25 @@
 
 // requester is the duty that decides on requests.
 type requester struct {
-	number   int
-	clock    pimentospread.Clock
-	decider  *engine.Requests
-	requests *ring.Classed[request.Request]
-	answers  *ring.Ring[request.Answer]
-	inbound  *ring.Ring[pimentospread.Inbound]
-	reports  *ring.Ring[pimentospread.LoadReport]
-	views    *ring.Ring[*decide.View]
-	control  *control.Controller
-	progress *ring.Ring[progress]
-	attempts *ring.Ring[targetMessage]
-	replies  *ring.Ring[datagram]
-	peers    pimentospread.PeerNetwork
-	encoder  *replyEncoder
-	drops    dropCounters
-	actions  decide.RequestActions
-	view     *decide.View
-	idle     bool
+	number    int
+	clock     pimentospread.Clock
+	decider   *engine.Requests
+	requests  *ring.Classed[request.Request]
+	answers   *ring.Ring[request.Answer]
+	inbound   *ring.Ring[pimentospread.Inbound]
+	reports   *ring.Ring[pimentospread.LoadReport]
+	views     *ring.Ring[*decide.View]
+	control   *control.Controller
+	progress  *ring.Ring[progress]
+	attempts  *ring.Ring[targetMessage]
+	replies   *ring.Ring[datagram]
+	peers     pimentospread.PeerNetwork
+	encoder   *replyEncoder
+	drops     dropCounters
+	actions   decide.RequestActions
+	view      *decide.View
+	idle      bool
+	recording recording
 }
 
 func (r *requester) run(ctx context.Context) error {
@@ -48,35 +49,46 @@
 		case <-ctx.Done():
 			return nil
 		case <-r.requests.Ready():
-			r.takeRequests()
+			r.takeRequests(ctx)
 		case a := <-r.answers.Items():
-			r.decider.Answer(r.clock.Now(), a, &r.actions)
+			now := r.clock.Now()
+			r.recording.answer(ctx, now, a)
+			r.decider.Answer(now, a, &r.actions)
 		case m := <-r.inbound.Items():
-			r.decider.Peer(r.clock.Now(), m, &r.actions)
+			now := r.clock.Now()
+			r.recording.inbound(ctx, now, m)
+			r.decider.Peer(now, m, &r.actions)
 		case l := <-r.reports.Items():
-			r.decider.Report(r.clock.Now(), l)
+			now := r.clock.Now()
+			r.recording.report(ctx, now, l)
+			r.decider.Report(now, l)
 		case v := <-r.views.Items():
 			r.configure(ctx, v)
 		case <-ticker.C:
-			r.decider.Tick(r.clock.Now(), &r.actions)
+			now := r.clock.Now()
+			r.recording.tick(ctx, now)
+			r.decider.Tick(now, &r.actions)
 		}
 		r.carryOut(ctx)
 		r.report(ctx)
 	}
 }
 
-func (r *requester) takeRequests() {
+func (r *requester) takeRequests(ctx context.Context) {
 	for {
 		q, ok := r.requests.Take()
 		if !ok {
 			return
 		}
-		r.decider.Arrive(r.clock.Now(), q, &r.actions)
+		now := r.clock.Now()
+		r.recording.request(ctx, now, q)
+		r.decider.Arrive(now, q, &r.actions)
 	}
 }
 
 func (r *requester) configure(ctx context.Context, v *decide.View) {
 	now := r.clock.Now()
+	r.recording.view(ctx, now, v)
 	leaves := v.Leaving && (r.view == nil || !r.view.Leaving)
 	r.view = v
 	r.decider.Configure(now, v, &r.actions)
