Pass uneven slots on in turns and measure limits under load

Eight hosts side by side with fake targets showed that 12 slots on 8 hosts (4 targets with 3 slots) miss the bound of 1.25 for the imbalance at 80% load: four hosts own one slot, four own two, and the former cannot serve their part. Slots that do not divide evenly now pass to another host every 10 s, by the clock, and a host stops using such a slot when a request of mean length would run past the turn. A target whose last attempt went badly now takes work after the others.

--- a/admission/group.go
+++ b/admission/group.go
@@ -11,6 +11,11 @@
 // group is the targets of one pool, as one host sees them.
 type group struct {
 	coldStart time.Duration
+	live      []pimentospread.HostID
+	self      pimentospread.HostID
+	// turn numbers the intervals of turnLength since the Unix epoch; turnEnds is the end of this one.
+	turn     int64
+	turnEnds time.Time
 	// release are the targets as published, targets what this host knows of them, in the same order.
 	release []pool.Target
 	targets []*targetLimit
@@ -25,29 +30,51 @@
 	took float64
 }
 
+// turnLength is how long a host owns a slot that does not divide evenly. Hosts
+// derive the turn from their clocks; a difference between the clocks makes two
+// owners overlap for as long, and the target sheds what is too much. Shorter
+// turns lose more to the pause before each change, longer ones let the queue
+// of a host without such a slot grow towards the usual longest wait of 5 s.
+const turnLength = 10 * time.Second
+
+// advance splits the slots again when a new turn has begun.
+func (g *group) advance(now time.Time) {
+	if turn := now.UnixNano() / int64(turnLength); turn != g.turn {
+		g.split(now)
+	}
+}
+
 // split gives this host its slots at the targets that take work.
-func (g *group) split(live []pimentospread.HostID, self pimentospread.HostID) {
+func (g *group) split(now time.Time) {
+	g.turn = now.UnixNano() / int64(turnLength)
+	g.turnEnds = time.Unix(0, (g.turn+1)*int64(turnLength))
 	byID := make(map[pimentospread.TargetID]*targetLimit, len(g.targets))
 	var open []pool.Target
 	for i, t := range g.targets {
 		byID[t.id] = t
-		t.owned = t.owned[:0]
+		t.grow(now)
+		t.lowered = t.full() - t.limit
+		t.owned, t.leaving = t.owned[:0], 0
 		if !t.closed() {
 			open = append(open, g.release[i])
 		}
 	}
-	for _, s := range split(open, live)[self] {
+	next := split(open, g.live, g.turn+1)[g.self]
+	for _, s := range split(open, g.live, g.turn)[g.self] {
 		t := byID[s.target]
 		t.owned = append(t.owned, s.number)
+		if !slices.Contains(next, s) {
+			t.leaving++
+		}
 	}
 	g.own, g.ranked = g.own[:0], g.ranked[:0]
 	for _, t := range g.targets {
-		t.limit = min(t.limit, t.full())
+		t.limit = max(0, t.full()-t.lowered)
 		if len(t.owned) > 0 {
 			g.own = append(g.own, t)
 		}
 	}
-	for _, id := range rank(open, self) {
+	for _, id := range rank(open, g.self) {
 		g.ranked = append(g.ranked, byID[id])
 	}
 }
@@ -56,6 +83,7 @@
 // target for the spare slot. The spare slot is for requests for which no owned
 // slot can become free: their targets are excluded, cold or resting.
 func (g *group) pick(now time.Time, excluded []pimentospread.TargetID) *targetLimit {
+	g.advance(now)
 	var best *targetLimit
 	busy := false
 	for _, t := range g.own {
@@ -67,7 +95,7 @@
 		if t.running >= usable {
 			continue
 		}
-		if best == nil || t.averageUse(now) < best.averageUse(now) {
+		if best == nil || t.before(best, now) {
 			best = t
 		}
 	}
@@ -110,6 +138,12 @@
 	return t.failures > failureMargin+failureFactor*sum/float64(max(1, n))
 }
 
+// handingOver says that a request of mean length would run past the turn.
+func (g *group) handingOver(now time.Time) bool {
+	pause := min(g.took, turnLength.Seconds()/2)
+	return g.turnEnds.Sub(now).Seconds() < pause
+}
+
 func (g *group) learnTook(took time.Duration) {
 	if g.took == 0 {
 		g.took = took.Seconds()
--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -95,7 +95,8 @@
 		done[t.ID] = g
 		g.targets = append(g.targets, l.configureTarget(now, t, g, known[t.ID]))
 	}
-	g.split(l.live, l.self)
+	g.live, g.self = l.live, l.self
+	g.split(now)
 	for _, t := range g.targets {
 		if known[t.id] == nil {
 			t.limit = t.full()
@@ -166,7 +167,7 @@
 		return
 	}
 	if t.report(now, report) {
-		t.group.split(l.live, l.self)
+		t.group.split(now)
 	}
 }
 
--- a/admission/split.go
+++ b/admission/split.go
@@ -34,9 +34,11 @@
 }
 
 // split assigns every slot of the targets to one live host. The numbers of
-// slots of two hosts differ by at most one. When there are fewer slots than
-// hosts, each host without a slot shares one at the target that ranks first for it.
-func split(targets []pool.Target, live []pimentospread.HostID) map[pimentospread.HostID][]slot {
+// slots of two hosts differ by at most one. Slots that do not divide evenly
+// pass from host to host with each turn, so that all hosts own the same number
+// over time. When there are fewer slots than hosts, each host without a slot
+// shares one at the target that ranks first for it.
+func split(targets []pool.Target, live []pimentospread.HostID, turn int64) map[pimentospread.HostID][]slot {
 	s := splitter{
 		hosts: live,
 		taken: map[slot]bool{},
@@ -50,8 +52,7 @@
 	each := len(base) / len(live)
 	s.assign(base, each, 1)
 	s.assign(base, each, each)
-	s.assign(rest, each+1, 1)
-	s.assign(rest, each+1, each+1)
+	s.rotate(rest, turn)
 	for _, h := range live {
 		if len(s.owned[h]) == 0 {
 			s.owned[h] = []slot{{target: rank(targets, h)[0]}}
@@ -124,6 +125,19 @@
 	}
 }
 
+// rotate gives the slots to hosts at equal distances on a ring of all hosts,
+// one step further with each turn.
+func (s *splitter) rotate(slots []slot, turn int64) {
+	ring := slices.Clone(s.hosts)
+	slices.SortFunc(ring, func(a, b pimentospread.HostID) int {
+		return cmp.Or(cmp.Compare(score(slot{}, a), score(slot{}, b)), cmp.Compare(a, b))
+	})
+	for i, t := range slots {
+		h := ring[(i*len(ring)/len(slots)+int(turn%int64(len(ring))))%len(ring)]
+		s.owned[h] = append(s.owned[h], t)
+	}
+}
+
 // rank returns the targets in rendezvous order for the host.
 func rank(targets []pool.Target, host pimentospread.HostID) []pimentospread.TargetID {
 	ids := make([]pimentospread.TargetID, 0, len(targets))
--- a/admission/split_test.go
+++ b/admission/split_test.go
@@ -9,9 +9,9 @@
 	"pimentospread"
 )
 
-func owners(s Service, live []pimentospread.HostID) map[slot][]pimentospread.HostID {
+func owners(s Service, live []pimentospread.HostID, turn int64) map[slot][]pimentospread.HostID {
 	all := map[slot][]pimentospread.HostID{}
-	for h, slots := range split(s.Targets, live) {
+	for h, slots := range split(s.Targets, live, turn) {
 		for _, o := range slots {
 			all[o] = append(all[o], h)
 		}
@@ -30,9 +30,10 @@
 			total += int(s.Targets[i].Slots)
 		}
 		live := hostIDs(rapid.IntRange(1, 16).Draw(t, "hosts"))
-		first := split(s.Targets, live)
+		turn := rapid.Int64Range(0, 100).Draw(t, "turn")
+		first := split(s.Targets, live, turn)
 		s.Targets = rapid.Permutation(s.Targets).Draw(t, "target order")
-		second := split(s.Targets, rapid.Permutation(live).Draw(t, "host order"))
+		second := split(s.Targets, rapid.Permutation(live).Draw(t, "host order"), turn)
 		low, high := total, 0
 		for _, h := range live {
 			if !slices.Equal(first[h], second[h]) {
@@ -43,7 +44,7 @@
 		if low < 1 || high-low > 1 {
 			t.Fatalf("hosts own %d to %d slots", low, high)
 		}
-		used := owners(s, live)
+		used := owners(s, live, turn)
 		if len(used) != total {
 			t.Fatalf("%d of %d slots are owned", len(used), total)
 		}
@@ -63,9 +64,9 @@
 func TestSplitMovesLittle(t *testing.T) {
 	for _, shape := range poolShapes {
 		s, live := testService(shape.targets, shape.slots), hostIDs(8)
-		before, moved := owners(s, live), 0
+		before, moved := owners(s, live, 0), 0
 		for i, dead := range live {
-			for o, hosts := range owners(s, slices.Delete(slices.Clone(live), i, i+1)) {
+			for o, hosts := range owners(s, slices.Delete(slices.Clone(live), i, i+1), 0) {
 				if before[o][0] != dead && before[o][0] != hosts[0] {
 					moved++
 				}
--- a/admission/target_limit.go
+++ b/admission/target_limit.go
@@ -30,13 +30,17 @@
 	group *group
 	slots pimentospread.Slots
 	// owned are the numbers of the slots that the split gives to this host.
-	owned   []pimentospread.Slots
+	owned []pimentospread.Slots
+	// leaving counts the owned slots that another host owns in the next turn.
+	leaving int
 	running int
 	// spares counts running requests that hold no owned slot.
 	spares  int
 	retired bool
 
-	limit   float64
+	limit float64
+	// lowered is what the limit lacks while a split changes the owned slots.
+	lowered float64
 	grownAt time.Time
 	// streak counts attempts in a row after which the limit was lowered.
 	streak int
@@ -90,6 +94,9 @@
 	}
 	t.grow(now)
 	n := min(int(t.limit), t.open(now))
+	if t.leaving > 0 && t.group.handingOver(now) {
+		n = min(n, len(t.owned)-t.leaving)
+	}
 	if now.Before(t.capEnds) {
 		n = min(n, t.reportCap)
 	}
@@ -121,6 +128,15 @@
 	return t.use
 }
 
+// before says that the target takes work before the other: one whose last
+// attempt went well first, then the one that was used less.
+func (t *targetLimit) before(o *targetLimit, now time.Time) bool {
+	if (t.streak == 0) != (o.streak == 0) {
+		return t.streak == 0
+	}
+	return t.averageUse(now) < o.averageUse(now)
+}
+
 func (t *targetLimit) start(now time.Time) {
 	t.averageUse(now)
 	t.running++
