Add the demo with the example sets

Cause: the invariants have to be shown with killed, stopped and drained parts, and the outcome compared on both sides. "standin ports" finds free ports for the hosts.

--- a/Makefile
+++ b/Makefile
@@ -19,3 +19,6 @@
 
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
+
+demo:
+	scripts/demo.sh
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -14,6 +14,7 @@
 	"pimentospread/standin/caller"
 	"pimentospread/standin/fabric"
 	"pimentospread/standin/ledger"
+	"pimentospread/standin/loopback"
 	"pimentospread/standin/platform"
 	"pimentospread/standin/target"
 )
@@ -33,6 +34,7 @@
 			target.SetCommand(),
 			caller.Command(),
 			ledger.Command(),
+			loopback.PortsCommand(),
 		},
 	}
 	if err := root.Run(ctx, os.Args); err != nil {
--- a/standin/loopback/listen.go
+++ b/standin/loopback/listen.go
@@ -53,7 +53,12 @@
 }
 
 // Address returns the local address.
-func (s *Socket) Address() netip.AddrPort { return s.conn.LocalAddr().(*net.UDPAddr).AddrPort() }
+func (s *Socket) Address() netip.AddrPort {
+	return unmap(s.conn.LocalAddr().(*net.UDPAddr).AddrPort())
+}
+
+// unmap turns the IPv4-mapped form, which the net package may return, into the plain one.
+func unmap(a netip.AddrPort) netip.AddrPort { return netip.AddrPortFrom(a.Addr().Unmap(), a.Port()) }
 
 // Receive waits for one datagram.
 func (s *Socket) Receive(buffer []byte) (int, netip.AddrPort, error) {
@@ -64,7 +69,7 @@
 	case err != nil:
 		return 0, netip.AddrPort{}, pimentospread.At(pimentospread.ErrUnavailable.Wrap(err, "UDP socket"), "receive", "")
 	}
-	return n, netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), nil
+	return n, unmap(from), nil
 }
 
 // Send sends one datagram.
@@ -120,7 +125,9 @@
 }
 
 // Address returns the local address.
-func (s *Server) Address() netip.AddrPort { return s.listener.Addr().(*net.TCPAddr).AddrPort() }
+func (s *Server) Address() netip.AddrPort {
+	return unmap(s.listener.Addr().(*net.TCPAddr).AddrPort())
+}
 
 // Serve is the duty that answers calls until the context ends.
 func (s *Server) Serve(ctx context.Context) error {
