Let callers withdraw requests, and set the board interval of the demo

Cause: a caller that never cancels leaves the way of a cancellation to the target untried, and the default interval of 2 s is too dense for many flows. BOARD_INTERVAL sets the time between board updates.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -14,6 +14,7 @@
 DRAIN_AT=${DRAIN_AT:-14}
 STOP_AT=${STOP_AT:-20}
 PLAN=${PLAN:-examples/trust-plan.json}
+BOARD_INTERVAL=${BOARD_INTERVAL:-2s}
 # Options of the fabric, such as "--loss 0.01 --duplicate 0.01".
 read -r -a FABRIC_OPTIONS <<<"${FABRIC_OPTIONS:-}"
 HOST_PROGRAM=${HOST_PROGRAM:-bin/pimentospread}
@@ -108,7 +109,7 @@
   start fabric bin/standin fabric --roster "$PLATFORM/objects/Roster/$CELL" "${FABRIC_OPTIONS[@]}"
   announced fabric
   FABRIC=$(jq -r .Address "$RUN/fabric.out")
-  local common=(--release "$PLATFORM/objects/Release/$CELL" --fabric "$FABRIC" --slots 2 --connections 2000)
+  local common=(--release "$PLATFORM/objects/Release/$CELL" --fabric "$FABRIC" --slots 2 --connections 2000 --interval "$BOARD_INTERVAL")
   for d in "${DOMAINS[@]}"; do common+=(--domain "$d"); done
   start desk bin/standin target --service auction-desk --count 14 --service-time 20ms "${common[@]}"
   start office bin/standin target --service cert-office --count 4 --service-time 200ms "${common[@]}"
--- a/standin/caller/caller_test.go
+++ b/standin/caller/caller_test.go
@@ -186,6 +186,18 @@
 	}
 }
 
+// Guards against a caller that cannot withdraw, which would leave cancellation untried.
+func TestRequestsAreWithdrawn(t *testing.T) {
+	p := plan(t)
+	p.Requests[0].CancelAfter.Duration = time.Second
+	r := caller.NewRequests(p, epoch)
+	r.Step(epoch.Add(time.Second), true, nil)
+	sent := r.Step(epoch.Add(2*time.Second), false, nil)
+	if len(sent) != 1 || !sent[0].Request.Cancelled || r.Note()[0].Told != ledger.Withdrawn || r.Pending() != 0 {
+		t.Errorf("got %+v and %+v", sent, r.Note())
+	}
+}
+
 // Guards against plans that start more than a machine can take, or nothing at all.
 func TestDecodePlanRefuses(t *testing.T) {
 	for _, text := range []string{
--- a/standin/caller/plan.go
+++ b/standin/caller/plan.go
@@ -55,6 +55,8 @@
 	// Deadline is the time that a request has.
 	Deadline   pimentospread.Duration `json:"Deadline"`
 	Idempotent bool                   `json:"Idempotent"`
+	// CancelAfter withdraws a request that has no outcome after this time; zero never does.
+	CancelAfter pimentospread.Duration `json:"CancelAfter"`
 	// After is when the stream starts, and For how long it lasts; zero means to the end.
 	After pimentospread.Duration `json:"After"`
 	For   pimentospread.Duration `json:"For"`
--- a/standin/caller/requests.go
+++ b/standin/caller/requests.go
@@ -23,11 +23,13 @@
 // asked is one request and what is known of it.
 type asked struct {
 	ledger.Asked
-	request   request.Request
-	from, to  netip.AddrPort
-	first     time.Time
-	nextSend  time.Time
-	timeout   time.Duration
+	request  request.Request
+	from, to netip.AddrPort
+	first    time.Time
+	nextSend time.Time
+	timeout  time.Duration
+	// cancelAt is when the caller withdraws the request, or zero.
+	cancelAt  time.Time
 	assembled map[string]*assembly
 }
 
@@ -82,6 +84,11 @@
 		switch {
 		case now.After(a.request.Deadline.Add(lateReply)):
 			r.settle(now, token, a, ledger.Nothing)
+		case !a.cancelAt.IsZero() && !now.Before(a.cancelAt):
+			withdrawal := a.request
+			withdrawal.Cancelled, withdrawal.Idempotent = true, false
+			transmissions = append(transmissions, Transmission{a.from, a.to, a.Service, withdrawal})
+			r.settle(now, token, a, ledger.Withdrawn)
 		case !now.Before(a.nextSend) && now.Before(a.request.Deadline):
 			a.nextSend = now.Add(a.timeout)
 			a.timeout *= 2
@@ -117,6 +124,9 @@
 			MessageID: uint16(number), Confirmable: true,
 		},
 	}
+	if w.CancelAfter.Duration > 0 {
+		a.cancelAt = now.Add(w.CancelAfter.Duration)
+	}
 	r.all = append(r.all, a)
 	r.byToken[number], r.pending[number] = a, a
 }
--- a/standin/ledger/outcome.go
+++ b/standin/ledger/outcome.go
@@ -32,6 +32,7 @@
 	Class                             pimentospread.Class
 	Asked, Answered, NotRun, Unknown  int
 	TargetFailed, Malformed, NotTold  int
+	Withdrawn                         int
 	RunTwice, NotRunButRan, RunByNone int
 }
 
@@ -98,6 +99,8 @@
 		k.TargetFailed++
 	case Malformed:
 		k.Malformed++
+	case Withdrawn:
+		k.Withdrawn++
 	default:
 		k.NotTold++
 	}
@@ -194,12 +197,12 @@
 		row("%s\t%d\t%d\t%d\t%d\t%d\t%d\t\n", f.Service, f.Opened, f.Held, f.Broken, f.Reset, f.Silent, f.Refused)
 	}
 	row("\t\t\t\t\t\t\t\n")
-	row("requests\tasked\tanswered\tnot run\tunknown\tno reply\tfailed\tmalformed\trun twice\tnot run but ran\t\n")
+	row("requests\tasked\tanswered\tnot run\tunknown\tno reply\twithdrawn\tfailed\tmalformed\trun twice\tnot run but ran\t\n")
 	for _, k := range o.Requests {
-		row("%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t\n", k.Class, k.Asked, k.Answered, k.NotRun, k.Unknown,
-			k.NotTold, k.TargetFailed, k.Malformed, k.RunTwice, k.NotRunButRan)
+		row("%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t\n", k.Class, k.Asked, k.Answered, k.NotRun, k.Unknown,
+			k.NotTold, k.Withdrawn, k.TargetFailed, k.Malformed, k.RunTwice, k.NotRunButRan)
 	}
-	row("\t\t\t\t\t\t\t\t\t\t\n")
+	row("\t\t\t\t\t\t\t\t\t\t\t\n")
 	row("open flows\ttargets\tlargest\tmean\timbalance\t\n")
 	for _, m := range o.Imbalance {
 		row("%s\t%d\t%d\t%.1f\t%.2f\t\n", m.Service, m.Targets, m.Largest, m.Mean, float64(m.Ratio))
--- a/standin/ledger/run.go
+++ b/standin/ledger/run.go
@@ -69,6 +69,8 @@
 	NotRun       Told = "NotRun"
 	Unknown      Told = "Unknown"
 	Malformed    Told = "Malformed"
+	// Withdrawn requests were cancelled by the caller, who is told nothing.
+	Withdrawn Told = "Withdrawn"
 	// Nothing means that no reply came until the deadline and the time after it.
 	Nothing Told = "Nothing"
 )
