Drive claims through random storms

Cause: at-most-once and truthful refusals must hold under any interleaving. Change: a cell of 4 to 8 deciders with a fake clock, network, fabric and targets runs storms that rapid draws; two simple rules run through the same storms as a baseline. Before: no proof.

--- /dev/null
+++ b/decide/requests_property_test.go
@@ -0,0 +1,116 @@
+package decide_test
+
+import (
+	"flag"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"pimentospread"
+	"pimentospread/decide"
+	"pimentospread/member"
+	"pimentospread/request"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "20261204")
+	}
+	os.Exit(m.Run())
+}
+
+func buildDecider(c *cell, h *cellHost) node {
+	return decide.NewRequests(decide.RequestsDeps{
+		Self: h.id, Incarnation: h.incarnation, Admission: &queue{limit: 8},
+		Placement: newSlots(cellTargets, 2, c.random), Random: c.random, Started: h.started.Add(h.skew),
+	})
+}
+
+// baseline sends every request once for each host and run that gets it. With
+// hashed set, hosts pass a request to the live host that ranks first for it.
+type baseline struct {
+	hashed bool
+	id     pimentospread.HostID
+	view   *decide.View
+	random *rand.Rand
+	seen   map[pimentospread.RequestID]bool
+}
+
+type passedOn struct{ q request.Request }
+
+func (passedOn) MessageKind() pimentospread.MessageKind { return "PassedOn" }
+
+func buildBaseline(hashed bool) func(*cell, *cellHost) node {
+	return func(c *cell, h *cellHost) node {
+		return &baseline{hashed: hashed, id: h.id, view: h.view, random: c.random, seen: map[pimentospread.RequestID]bool{}}
+	}
+}
+
+func (b *baseline) Configure(_ time.Time, view *decide.View, _ *decide.RequestActions) { b.view = view }
+func (b *baseline) Answer(time.Time, request.Answer, *decide.RequestActions)           {}
+func (b *baseline) Tick(time.Time, *decide.RequestActions)                             {}
+
+func (b *baseline) Arrive(now time.Time, q request.Request, actions *decide.RequestActions) {
+	if owner := member.Rank(q.ID.Hash(), b.view.Live, 1); b.hashed && len(owner) > 0 && owner[0] != b.id {
+		actions.Peers = append(actions.Peers, pimentospread.Outbound{To: owner[0], Message: passedOn{q}})
+		return
+	}
+	b.Peer(now, pimentospread.Inbound{Message: passedOn{q}}, actions)
+}
+
+func (b *baseline) Peer(now time.Time, in pimentospread.Inbound, actions *decide.RequestActions) {
+	p, passed := in.Message.(passedOn)
+	if !passed || b.seen[p.q.ID] || p.q.Cancelled || !now.Before(p.q.Deadline) {
+		return
+	}
+	b.seen[p.q.ID] = true
+	target := pimentospread.TargetID(1 + b.random.IntN(cellTargets))
+	actions.Attempts = append(actions.Attempts, request.Attempt{
+		ID: pimentospread.AttemptID(b.random.Uint64()), Request: p.q.ID, Target: target, Address: targetAddress(target), Deadline: p.q.Deadline,
+	})
+}
+
+// Guards against a non-idempotent request that runs twice, a request reported
+// "not run" that ran, and answers that are mixed or of another request. Two
+// simple rules go through the same storms; they show that the storms do harm.
+func TestStormsKeepOutcomes(t *testing.T) {
+	twice := map[string]int{}
+	requests, served := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawStorm(t)
+		c := newCell(s, buildDecider)
+		c.weather()
+		for _, wrong := range c.wrongs() {
+			t.Error(wrong)
+		}
+		requests, served = requests+s.Requests, served+c.served()
+		for name, build := range map[string]func(*cell, *cellHost) node{"receiver runs": buildBaseline(false), "live hash owner runs": buildBaseline(true)} {
+			b := newCell(s, build)
+			b.weather()
+			twice[name] += len(b.wrongs())
+		}
+	})
+	t.Logf("requests %d, whole answers %d; run twice by the baselines: %v", requests, served, twice)
+	for name, n := range twice {
+		if n == 0 {
+			t.Errorf("the rule %q ran nothing twice, so the storms prove nothing", name)
+		}
+	}
+}
+
+// Guards against claims that fail, or cost more messages, without any fault.
+func TestQuietCellServesEverything(t *testing.T) {
+	for _, copies := range []int{1, 4} {
+		c := newCell(storm{Seed: 1, Hosts: 8, Domains: 4, Requests: 400, Copies: copies, Window: 35 * time.Second}, buildDecider)
+		c.weather()
+		if wrong := c.wrongs(); len(wrong) > 0 {
+			t.Error(wrong)
+		}
+		t.Logf("up to %d copies: whole answers to %d of %d requests, %d control bytes for each of 300 non-idempotent ones",
+			copies, c.served(), c.storm.Requests, c.control/300)
+	}
+}
