--- a/command/burn.go
+++ b/command/burn.go
@@ -3,24 +3,72 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
+	"pimentospread"
+	"pimentospread/burn"
+	"pimentospread/member"
 	"pimentospread/operator"
 )
 
+// burnTimeout bounds the wait for one host, so that a host that does not
+// answer is named as missing and does not hold up the report.
+const burnTimeout = 2 * time.Second
+
 func (s commands) burn() *cli.Command {
 	return &cli.Command{
 		Name:  "burn",
 		Usage: "report the service-level burn over all hosts of the cell",
-		Flags: []cli.Flag{hostFlag(), outputFlag()},
+		Description: "Rates are shares of the error budget: at 1 the budget of a window is used up at its end.\n" +
+			"A host that does not answer is named.\n\nExample: pimentospread burn --output html > burn.html",
+		Flags: []cli.Flag{hostFlag(), &cli.StringFlag{
+			Name: flagOutput, Value: outputText, Usage: "text, json or html",
+			Validator: func(value string) error {
+				if value == outputText || value == outputJSON || value == outputHTML {
+					return nil
+				}
+				return errUsage.New("output %q is not one of text, json and html", value)
+			},
+		}},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			_, err := client(c).Burn(ctx)
-			return err
+			report, err := gatherBurn(ctx, client(c))
+			if err != nil {
+				return err
+			}
+			write := map[string]func(io.Writer) error{
+				outputText: report.WriteTable, outputJSON: report.WriteJSON, outputHTML: report.WriteHTML,
+			}
+			return write[c.String(flagOutput)](s.deps.Stdout)
 		},
 	}
 }
 
+// gatherBurn asks every host of the cell, one after the other.
+func gatherBurn(ctx context.Context, first *operator.Client) (burn.Report, error) {
+	status, err := first.Status(ctx)
+	if err != nil {
+		return burn.Report{}, err
+	}
+	var asked []pimentospread.HostID
+	var reports []burn.HostReport
+	for _, h := range status.Hosts {
+		asked = append(asked, h.Host)
+		if r, err := hostBurn(ctx, first, h); err == nil {
+			reports = append(reports, r)
+		}
+	}
+	return burn.Merge(asked, reports), nil
+}
+
+func hostBurn(ctx context.Context, first *operator.Client, h member.HostStatus) (burn.HostReport, error) {
+	ctx, cancel := context.WithTimeout(ctx, burnTimeout)
+	defer cancel()
+	return first.At(h.AdminAddress).Burn(ctx)
+}
+
 func isTimeout(err error) bool {
 	var p operator.Problem
 	return errors.As(err, &p) && p.Kind == "timeout"
--- a/command/output.go
+++ b/command/output.go
@@ -15,6 +15,7 @@
 const (
 	outputText = "text"
 	outputJSON = "json"
+	outputHTML = "html"
 )
 
 // print writes the value as JSON, or as the text that write makes.
--- a/decide/actions.go
+++ b/decide/actions.go
@@ -48,8 +48,18 @@
 	a.Drops = a.Drops[:0]
 }
 
+// Ended is a request of which this host has told the caller the outcome.
+type Ended struct {
+	Service pimentospread.ServiceID
+	Class   pimentospread.Class
+	Caller  pimentospread.CallerID
+	// InTime says that the whole answer went out before the deadline.
+	InTime bool
+}
+
 // RequestActions is what the requests decider wants done.
 type RequestActions struct {
+	Ended    []Ended
 	Attempts []request.Attempt
 	Cancels  []request.Cancel
 	Replies  []request.Reply
@@ -59,6 +69,7 @@
 
 // Clear empties the actions and keeps their memory.
 func (a *RequestActions) Clear() {
+	a.Ended = a.Ended[:0]
 	a.Attempts = a.Attempts[:0]
 	a.Cancels = a.Cancels[:0]
 	a.Replies = a.Replies[:0]
--- a/decide/requests_answer.go
+++ b/decide/requests_answer.go
@@ -61,6 +61,7 @@
 	}
 	r.release(now, answer.Attempt, pimentospread.ResultDone)
 	r.conclude(now, e, request.Answered, "")
+	actions.Ended = append(actions.Ended, endedOf(e, now.Before(e.Request.Deadline)))
 }
 
 // answerShed sends the request elsewhere: a target that shed it has not run it.
@@ -83,11 +84,16 @@
 // finish ends a request with an outcome other than an answer and tells the caller.
 func (r *Requests) finish(now time.Time, e *request.Entry, outcome request.Outcome, reason string, actions *RequestActions) {
 	r.conclude(now, e, outcome, reason)
+	actions.Ended = append(actions.Ended, endedOf(e, false))
 	for _, o := range e.Origins {
 		actions.Replies = append(actions.Replies, request.Reply{Origin: o, Outcome: outcome, Part: e.Error, Reason: reason})
 	}
 }
 
+func endedOf(e *request.Entry, inTime bool) Ended {
+	return Ended{Service: e.Request.Service, Class: e.Request.Class, Caller: e.Request.ID.Caller, InTime: inTime}
+}
+
 // conclude records the outcome of a request.
 func (r *Requests) conclude(now time.Time, e *request.Entry, outcome request.Outcome, reason string) {
 	e.Stage, e.Outcome, e.Reason, e.Attempt = request.Finished, outcome, reason, 0
--- a/decide/requests_storm_test.go
+++ b/decide/requests_storm_test.go
@@ -68,10 +68,12 @@
 	}
 	bits := rapid.IntRange(0, 1<<s.Hosts-1)
 	for range rapid.IntRange(0, 10).Draw(t, "faults") {
+		// Two draws, so that few hosts leave at the same time.
+		leaving := bits.Draw(t, "leaving")
 		s.Faults = append(s.Faults, fault{
 			Kind: faultKind(rapid.IntRange(0, int(faultKinds)-1).Draw(t, "kind")),
 			At:   tenths("at", s.Window+cellLifetime), For: tenths("for", 30*time.Second),
-			Hosts: bits.Draw(t, "hosts"), Late: bits.Draw(t, "late"), Leaving: bits.Draw(t, "leaving") & bits.Draw(t, "leaving"),
+			Hosts: bits.Draw(t, "hosts"), Late: bits.Draw(t, "late"), Leaving: leaving & bits.Draw(t, "also leaving"),
 		})
 	}
 	return s
--- a/host/build.go
+++ b/host/build.go
@@ -144,11 +144,13 @@
 	answers := ring.New[request.Answer](capacity, ring.Refuse)
 	attempts := ring.New[targetMessage](capacity, ring.Wait)
 	h.countRefusals("answers", answers.Refused)
+	ended := ring.New[decide.Ended](capacity, ring.Refuse)
+	h.countRefusals("ended", ended.Refused)
 	number := h.settings.FlowShards
 	h.requester = &requester{
 		number: number, clock: h.clock, requests: h.receiver.requests, answers: answers, inbound: route.requests,
 		reports: reports, views: views[number], control: h.control, progress: h.progress,
-		attempts: attempts, replies: h.sender.out, peers: h.network,
+		attempts: attempts, replies: h.sender.out, ended: ended, peers: h.network,
 		encoder: h.newReplyEncoder(), drops: newDropCounters(h.metrics),
 		decider: engine.NewRequests(engine.RequestsDeps{
 			Self: h.settings.Host, Incarnation: h.incarnation, Started: h.started,
@@ -168,6 +170,9 @@
 	h.reporter = &reporter{
 		number: number, control: h.control, views: views[number], receiver: h.receiver.views,
 		questions: ring.New[releaseQuestion](h.settings.RingCapacity, ring.Refuse),
+		clock:     h.clock, ended: h.requester.ended,
+		burns: ring.New[burnQuestion](h.settings.RingCapacity, ring.Refuse),
+		burn:  burn.NewRecorder(burn.RecorderDeps{Host: h.settings.Host}),
 	}
 	h.operator = operator.NewServer(operator.Deps{
 		Log: h.log, Token: h.settings.AdminToken,
@@ -176,7 +181,7 @@
 		}),
 		Release: h.reporter.release,
 		Status:  h.control.Status,
-		Burn:    func(context.Context) (burn.Report, error) { return burn.Report{}, nil },
+		Burn:    h.reporter.hostBurn,
 		Metrics: h.metrics.write,
 		Ready:   func(context.Context) bool { return h.control.Latest().Ready },
 	})
--- a/host/report.go
+++ b/host/report.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"pimentospread"
+	"pimentospread/burn"
 	"pimentospread/control"
 	"pimentospread/decide"
 	"pimentospread/release"
@@ -17,9 +18,15 @@
 	reply *ring.Ring[*release.Release]
 }
 
+// burnQuestion asks for the burn of this host.
+type burnQuestion struct {
+	reply *ring.Ring[burn.HostReport]
+}
+
 // reporter is the duty that answers questions of the administration API about
-// the release in force, and passes views on to the receiver.
+// the release in force and the burn, and passes views on to the receiver.
 type reporter struct {
+	clock     pimentospread.Clock
 	number    int
 	control   *control.Controller
 	views     *ring.Ring[*decide.View]
@@ -27,6 +34,9 @@
 	questions *ring.Ring[releaseQuestion]
 	view      *decide.View
 	waiting   []releaseQuestion
+	ended     *ring.Ring[decide.Ended]
+	burns     *ring.Ring[burnQuestion]
+	burn      *burn.Recorder
 }
 
 func (r *reporter) run(ctx context.Context) error {
@@ -35,9 +45,11 @@
 		case <-ctx.Done():
 			return nil
 		case v := <-r.views.Items():
-			r.view = v
-			_ = r.receiver.Put(ctx, v)
-			_ = r.control.Loaded(ctx, control.ViewLoaded{Decider: r.number, Sequence: v.Sequence, Prepared: v.Generation()})
+			r.configure(ctx, v)
+		case e := <-r.ended.Items():
+			r.burn.Record(r.clock.Now(), e.Service, e.Class, e.Caller, e.InTime)
+		case q := <-r.burns.Items():
+			_ = q.reply.Put(ctx, r.burn.Report(r.clock.Now()))
 		case q := <-r.questions.Items():
 			r.waiting = append(r.waiting, q)
 		}
@@ -45,6 +57,31 @@
 	}
 }
 
+func (r *reporter) configure(ctx context.Context, v *decide.View) {
+	r.view = v
+	_ = r.receiver.Put(ctx, v)
+	services := make([]burn.Service, 0, len(v.Services))
+	for id, s := range v.Services {
+		services = append(services, burn.Service{ID: id, Name: s.Service.Name, Classes: s.Policy.Classes})
+	}
+	r.burn.Configure(r.clock.Now(), services)
+	_ = r.control.Loaded(ctx, control.ViewLoaded{Decider: r.number, Sequence: v.Sequence, Prepared: v.Generation()})
+}
+
+// hostBurn returns the burn of this host.
+func (r *reporter) hostBurn(ctx context.Context) (burn.HostReport, error) {
+	q := burnQuestion{reply: ring.New[burn.HostReport](1, ring.DropOldest)}
+	if err := r.burns.Put(ctx, q); err != nil {
+		return burn.HostReport{}, err
+	}
+	select {
+	case b := <-q.reply.Items():
+		return b, nil
+	case <-ctx.Done():
+		return burn.HostReport{}, pimentospread.At(pimentospread.ErrTimeout.New("the report duty did not answer"), "burn", "")
+	}
+}
+
 // answer serves the questions whose release has come and drops those whose asker has gone.
 func (r *reporter) answer() {
 	kept := r.waiting[:0]
--- a/host/requests.go
+++ b/host/requests.go
@@ -32,6 +32,7 @@
 	progress  *ring.Ring[progress]
 	attempts  *ring.Ring[targetMessage]
 	replies   *ring.Ring[datagram]
+	ended     *ring.Ring[decide.Ended]
 	peers     pimentospread.PeerNetwork
 	encoder   *replyEncoder
 	drops     dropCounters
@@ -114,6 +115,9 @@
 	for _, m := range a.Peers {
 		_ = r.peers.Send(ctx, m)
 	}
+	for _, e := range a.Ended {
+		_ = r.ended.Put(ctx, e)
+	}
 	r.drops.add(a.Drops)
 	a.Clear()
 }
--- a/operator/client.go
+++ b/operator/client.go
@@ -47,9 +47,9 @@
 	return s, err
 }
 
-// Burn returns the host's service-level burn report.
-func (c *Client) Burn(ctx context.Context) (burn.Report, error) {
-	var r burn.Report
+// Burn returns what the host has counted for the service-level burn report.
+func (c *Client) Burn(ctx context.Context) (burn.HostReport, error) {
+	var r burn.HostReport
 	err := c.call(ctx, http.MethodGet, "/v1/burn", nil, &r)
 	return r, err
 }
--- a/operator/server.go
+++ b/operator/server.go
@@ -39,7 +39,8 @@
 	// Release returns the host's release once its generation is above after.
 	Release func(ctx context.Context, after pimentospread.Generation) (*release.Release, error)
 	Status  func(ctx context.Context) (member.CellStatus, error)
-	Burn    func(ctx context.Context) (burn.Report, error)
+	// Burn returns what this host has counted.
+	Burn    func(ctx context.Context) (burn.HostReport, error)
 	Metrics func(w io.Writer)
 	Ready   func(ctx context.Context) bool
 }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -58,3 +59,18 @@
 	fmt.Println(s.Host, s.ShutdownGrace, len(faults), err)
 	// Output: neg-1 45s 0 <nil>
 }
+
+// Guards against a reference page that no longer matches the settings.
+func TestReferencePageIsCurrent(t *testing.T) {
+	page, err := os.ReadFile("../docs/settings.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	want, err := settings.Reference()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(want, string(page)); diff != "" {
+		t.Errorf("docs/settings.md is stale; run pimentospread settings --reference > docs/settings.md\n%s", diff)
+	}
+}
