Take the settings page from the Settings type alone

Cause: the page described Host and PeerAddress with the comments of Seed. Change: only the fields of Settings are read.

--- a/settings/reference.go
+++ b/settings/reference.go
@@ -66,7 +66,11 @@
 		return nil, pimentospread.At(pimentospread.ErrInvalid.Wrap(err, "settings.go cannot be parsed"), "reference", "")
 	}
 	comments := map[string]string{}
-	ast.Inspect(file, func(n ast.Node) bool {
+	settings := file.Scope.Lookup("Settings")
+	if settings == nil {
+		return nil, pimentospread.At(pimentospread.ErrInvalid.New("settings.go has no type Settings"), "reference", "")
+	}
+	ast.Inspect(settings.Decl.(ast.Node), func(n ast.Node) bool {
 		f, ok := n.(*ast.Field)
 		if ok && f.Doc != nil && len(f.Names) == 1 {
 			comments[f.Names[0].Name] = strings.Join(strings.Fields(f.Doc.Text()), " ")
