Run the demo with the entry hosts

Change: the demo writes the settings that package settings knows, applies and drains over the administration API of host 1, and waits for readiness after the release.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -79,17 +79,24 @@
   jq -n --arg id "$(host_name "$1")" --arg domain "$(host_domain "$1")" --arg cell "$CELL" \
     --arg platform "$PLATFORM" --arg fabric "$FABRIC" --arg token "$TOKEN" \
     --arg data "$(address "$1" 0)" --arg peer "$(address "$1" 1)" --arg admin "$(address "$1" 2)" --arg request "$(address "$1" 3)" \
-    '{ID: $id, FailureDomain: $domain, Cell: $cell, PlatformURL: $platform, FabricAddress: $fabric,
+    '{Host: $id, FailureDomain: $domain, Cell: $cell, PlatformURL: $platform, FabricAddress: $fabric,
       DataAddress: $data, RequestAddress: $request, PeerAddress: $peer, AdminAddress: $admin, AdminToken: $token}' \
     >"$RUN/host-$1.json"
 }
 serve_host() { exec "$HOST_PROGRAM" serve --settings "$RUN/host-$1.json"; }
-apply_set() { "$HOST_PROGRAM" apply --settings "$RUN/host-1.json" "$RUN/set.json"; }
-drain_target() { "$HOST_PROGRAM" drain --settings "$RUN/host-1.json" auction-desk "$1"; }
+# change COMMAND... asks host 1 for a change of the objects in force.
+change() {
+  local command=$1
+  shift
+  PIMENTOSPREAD_HOST=http://$(address 1 2) PIMENTOSPREAD_TOKEN=$TOKEN "$HOST_PROGRAM" "$command" "$@"
+}
+apply_set() { change apply --file "$RUN/set.json"; }
+drain_target() { change drain auction-desk "$1"; }
 
 host_name() { printf 'host-%d' "$1"; }
 host_domain() { printf '%s' "${DOMAINS[$((($1 - 1) % ${#DOMAINS[@]}))]}"; }
 address() { printf '127.0.0.1:%d' "$(jq -r ".[$((($1 - 1) * 4 + $2))]" "$RUN/ports.json")"; }
+host_live() { curl -sf -m 1 "http://$(address "$1" 2)/livez"; }
 host_ready() { curl -sf -m 1 "http://$(address "$1" 2)/readyz"; }
 published() { curl -sf "$PLATFORM/objects/Release/$CELL"; }
 
@@ -129,6 +136,15 @@
     start "host-$i" serve_host "$i"
     HOST_PIDS+=("$STARTED")
   done
+  for i in $(seq "$HOSTS"); do until_true 20 "host $i lives" host_live "$i"; done
+}
+
+# publish applies the object set; a host is ready once it has a release.
+publish() {
+  local i
+  apply_set >"$RUN/apply.out" 2>"$RUN/apply.err" || die "apply failed: $(cat "$RUN/apply.err")"
+  log "$(cat "$RUN/apply.out")"
+  until_true 5 "the release is published" published
   for i in $(seq "$HOSTS"); do until_true 20 "host $i is ready" host_ready "$i"; done
 }
 
@@ -149,10 +165,8 @@
 go build -o bin/ ./cmd/...
 start_surroundings
 start_hosts
-log "$HOSTS hosts are ready; the object set is applied"
-apply_set >"$RUN/apply.out" 2>"$RUN/apply.err" || die "apply failed: $(cat "$RUN/apply.err")"
-until_true 5 "the release is published" published
-log "waiting $GRANT_WAIT s until the hosts grant claims"
+publish
+log "$HOSTS hosts are ready; waiting $GRANT_WAIT s until they grant claims"
 pause "$GRANT_WAIT"
 start caller bin/standin caller --plan "$PLAN" --fabric "$FABRIC"
 CALLER=$STARTED
