--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -14,6 +14,8 @@
 DRAIN_AT=${DRAIN_AT:-14}
 STOP_AT=${STOP_AT:-20}
 PLAN=${PLAN:-examples/trust-plan.json}
+# When set, each host writes the trace of its decisions to this folder.
+TRACE_DIR=${TRACE_DIR:-}
 BOARD_INTERVAL=${BOARD_INTERVAL:-2s}
 # Options of the fabric, such as "--loss 0.01 --duplicate 0.01".
 read -r -a FABRIC_OPTIONS <<<"${FABRIC_OPTIONS:-}"
@@ -79,8 +81,9 @@
   jq -n --arg id "$(host_name "$1")" --arg domain "$(host_domain "$1")" --arg cell "$CELL" \
     --arg platform "$PLATFORM" --arg fabric "$FABRIC" --arg token "$TOKEN" \
     --arg data "$(address "$1" 0)" --arg peer "$(address "$1" 1)" --arg admin "$(address "$1" 2)" --arg request "$(address "$1" 3)" \
+    --arg trace "${TRACE_DIR:+$TRACE_DIR/$(host_name "$1").jsonl}" \
     '{Host: $id, FailureDomain: $domain, Cell: $cell, LogFormat: "text", PlatformURL: $platform, FabricAddress: $fabric,
-      DataAddress: $data, RequestAddress: $request, PeerAddress: $peer, AdminAddress: $admin, AdminToken: $token}' \
+      DataAddress: $data, RequestAddress: $request, PeerAddress: $peer, AdminAddress: $admin, AdminToken: $token, TracePath: $trace}' \
     >"$RUN/host-$1.json"
 }
 serve_host() { exec "$HOST_PROGRAM" serve --settings "$RUN/host-$1.json"; }
--- a/trace/reader.go
+++ b/trace/reader.go
@@ -30,7 +30,8 @@
 	for {
 		var e Event
 		err := d.Decode(&e)
-		if errors.Is(err, io.EOF) {
+		// The last line of a host that was killed may be cut.
+		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
 			return events, nil
 		}
 		if err != nil {
--- a/trace/recorder.go
+++ b/trace/recorder.go
@@ -44,6 +44,13 @@
 			if err := encoder.Encode(e); err != nil {
 				return pimentospread.At(pimentospread.ErrUnavailable.Wrap(err, "trace cannot be written"), "record", "")
 			}
+			// A host that is killed leaves what it has written so far.
+			if r.events.Len() > 0 {
+				continue
+			}
+			if err := buffered.Flush(); err != nil {
+				return pimentospread.At(pimentospread.ErrUnavailable.Wrap(err, "trace cannot be written"), "record", "")
+			}
 		}
 	}
 }
