--- a/coap/cause.go
+++ b/coap/cause.go
@@ -23,6 +23,7 @@
 	CauseClass          Cause = "class"
 	CauseDeadline       Cause = "deadline"
 	CauseNotReset       Cause = "not_a_reset"
+	CauseNotEmptyAck    Cause = "not_an_empty_acknowledgement"
 )
 
 // Error returns the cause with its context.
@@ -32,7 +33,7 @@
 // that the sender can be told. Other messages are dropped silently (RFC 7252, section 4.2).
 func (c Cause) Answerable() bool {
 	switch c {
-	case CauseHeader, CauseEmpty, CauseType, CauseCode, CauseNotReset:
+	case CauseHeader, CauseEmpty, CauseType, CauseCode, CauseNotReset, CauseNotEmptyAck:
 		return false
 	default:
 		return true
--- a/coap/coap_test.go
+++ b/coap/coap_test.go
@@ -132,6 +132,12 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		if wire, err = e.EncodeAcknowledgement(request.Origin{MessageID: reply.Origin.MessageID, Confirmable: true}); err != nil {
+			t.Fatal(err)
+		}
+		if id, err := coap.DecodeAcknowledgement(wire); err != nil || id != reply.Origin.MessageID {
+			t.Fatalf("acknowledgement: got %d, %v", id, err)
+		}
 		carried := reply.Origin.Confirmable && part.Number == 0
 		if carried && back.Origin.MessageID != reply.Origin.MessageID {
 			t.Fatalf("acknowledgement has message id %d, want %d", back.Origin.MessageID, reply.Origin.MessageID)
@@ -294,5 +300,6 @@
 		}
 		_, _ = coap.DecodeReply(data)
 		_, _ = coap.DecodeCancel(data)
+		_, _ = coap.DecodeAcknowledgement(data)
 	})
 }
--- a/coap/reply.go
+++ b/coap/reply.go
@@ -47,6 +47,29 @@
 	return e.write(m)
 }
 
+// EncodeAcknowledgement writes the empty acknowledgement that tells the caller
+// of a confirmable request to stop its retransmissions, because the answer
+// follows as a message of its own (RFC 7252, section 5.2.2).
+func (e *Encoder) EncodeAcknowledgement(o request.Origin) ([]byte, error) {
+	if !o.Confirmable {
+		return nil, failed("request with message id %d is not confirmable", o.MessageID)
+	}
+	return e.write(message.Message{Type: message.Acknowledgement, Code: codes.Empty, MessageID: int32(o.MessageID)})
+}
+
+// DecodeAcknowledgement reads an empty acknowledgement as a caller receives it
+// and returns the message id of the request. The error is a Cause.
+func DecodeAcknowledgement(data []byte) (uint16, error) {
+	m, err := parse(data)
+	if err != nil {
+		return 0, err
+	}
+	if m.Type != message.Acknowledgement || m.Code != codes.Empty {
+		return 0, CauseNotEmptyAck
+	}
+	return uint16(m.MessageID), nil
+}
+
 // DecodeReply reads a reply as a caller receives it. The Origin has only what
 // the message holds. The error is a Cause.
 func DecodeReply(data []byte) (request.Reply, error) {
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -107,6 +107,10 @@
 		c.sendSegments(c.flows.Receive(now, d, nil))
 		return
 	}
+	if id, err := coap.DecodeAcknowledgement(d.Payload); err == nil {
+		c.requests.Acknowledge(now, d.To, id)
+		return
+	}
 	reply, err := coap.DecodeReply(d.Payload)
 	if err != nil {
 		return
--- a/standin/caller/caller_test.go
+++ b/standin/caller/caller_test.go
@@ -198,6 +198,23 @@
 	}
 }
 
+// Guards against a caller that goes on retransmitting a request which a host
+// has acknowledged, so that other hosts take it up as well.
+func TestAcknowledgedRequestsAreNotSentAgainSoon(t *testing.T) {
+	for acknowledged, want := range map[bool]int{true: 0, false: 1} {
+		p := plan(t)
+		p.Requests[0].Deadline.Duration = 10 * time.Second
+		r := caller.NewRequests(p, epoch)
+		sent := r.Step(epoch.Add(time.Second), true, nil)
+		if acknowledged {
+			r.Acknowledge(epoch.Add(time.Second), sent[0].From, sent[0].Request.Origin.MessageID)
+		}
+		if got := len(r.Step(epoch.Add(4*time.Second), false, nil)); got != want {
+			t.Errorf("acknowledged %t: got %d transmissions, want %d", acknowledged, got, want)
+		}
+	}
+}
+
 // Guards against plans that start more than a machine can take, or nothing at all.
 func TestDecodePlanRefuses(t *testing.T) {
 	for _, text := range []string{
--- a/standin/caller/requests.go
+++ b/standin/caller/requests.go
@@ -138,6 +138,22 @@
 	delete(r.pending, token)
 }
 
+// Acknowledge takes an empty acknowledgement to the caller at the given
+// address: the answer follows. The request is sent again only in the middle of
+// the time that is left, in case the answer is lost. Message ids repeat, so the
+// newest pending request with the id is meant.
+func (r *Requests) Acknowledge(now time.Time, to netip.AddrPort, messageID uint16) {
+	var newest *asked
+	for _, a := range r.pending {
+		if a.from == to && a.request.Origin.MessageID == messageID && (newest == nil || a.first.After(newest.first)) {
+			newest = a
+		}
+	}
+	if newest != nil {
+		newest.nextSend = now.Add(newest.request.Deadline.Sub(now) / 2)
+	}
+}
+
 // Receive takes a reply to the caller at the given address.
 func (r *Requests) Receive(now time.Time, to netip.AddrPort, p request.Reply) {
 	if len(p.Origin.Token) != 8 {
