--- a/decide/actions.go
+++ b/decide/actions.go
@@ -27,9 +27,6 @@
 	Packet []byte
 }
 
-// DropCause says why a packet was dropped.
-type DropCause string
-
 // FlowActions is what a flow shard wants done. The shard appends; the duty empties it with Clear.
 type FlowActions struct {
 	Forwards []Forward
@@ -48,8 +45,18 @@
 	a.Drops = a.Drops[:0]
 }
 
+// Ended is a request of which this host has told the caller the outcome.
+type Ended struct {
+	Service pimentospread.ServiceID
+	Class   pimentospread.Class
+	Caller  pimentospread.CallerID
+	// InTime says that the whole answer went out before the deadline.
+	InTime bool
+}
+
 // RequestActions is what the requests decider wants done.
 type RequestActions struct {
+	Ended    []Ended
 	Attempts []request.Attempt
 	Cancels  []request.Cancel
 	Replies  []request.Reply
@@ -59,6 +66,7 @@
 
 // Clear empties the actions and keeps their memory.
 func (a *RequestActions) Clear() {
+	a.Ended = a.Ended[:0]
 	a.Attempts = a.Attempts[:0]
 	a.Cancels = a.Cancels[:0]
 	a.Replies = a.Replies[:0]
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -79,7 +79,7 @@
   jq -n --arg id "$(host_name "$1")" --arg domain "$(host_domain "$1")" --arg cell "$CELL" \
     --arg platform "$PLATFORM" --arg fabric "$FABRIC" --arg token "$TOKEN" \
     --arg data "$(address "$1" 0)" --arg peer "$(address "$1" 1)" --arg admin "$(address "$1" 2)" --arg request "$(address "$1" 3)" \
-    '{Host: $id, FailureDomain: $domain, Cell: $cell, PlatformURL: $platform, FabricAddress: $fabric,
+    '{Host: $id, FailureDomain: $domain, Cell: $cell, LogFormat: "text", PlatformURL: $platform, FabricAddress: $fabric,
       DataAddress: $data, RequestAddress: $request, PeerAddress: $peer, AdminAddress: $admin, AdminToken: $token}' \
     >"$RUN/host-$1.json"
 }
