Let hosts own too few slots in turns instead of sharing them

With fewer slots than hosts (4 targets with 2 slots on 9 hosts) the host without a slot shared one with its owner.

Slots that do not divide evenly now keep equal distances on a ring of all hosts, and as few as possible move in each turn, by one host each. A host without any slot waits at most 2 s for one; with a slot fewer than others it waits 10 s or holds the slot for 10 s, whichever is shorter. Over as many turns as there are hosts each host owns the same number of slots, which the property test checks. A host without a slot in a turn uses no spare slot.

--- a/admission/group.go
+++ b/admission/group.go
@@ -8,17 +8,22 @@
 	"pimentospread/pool"
 )
 
+// noTurn is not the number of any turn.
+const noTurn = -1
+
 // group is the targets of one pool, as one host sees them.
 type group struct {
 	coldStart time.Duration
 	live      []pimentospread.HostID
 	self      pimentospread.HostID
-	// turn numbers the intervals of turnLength since the Unix epoch; turnEnds is the end of this one.
+	split     *split
+	// turn numbers the split's turns since the Unix epoch; turnEnds is the end of this one.
 	turn     int64
 	turnEnds time.Time
 	// release are the targets as published, targets what this host knows of them, in the same order.
 	release []pool.Target
 	targets []*targetLimit
+	byID    map[pimentospread.TargetID]*targetLimit
 	// own are the targets at which this host owns slots.
 	own []*targetLimit
 	// ranked are the targets in the order in which this host takes a spare slot.
@@ -30,68 +35,68 @@
 	took float64
 }
 
-// turnLength is how long a host owns a slot that does not divide evenly. Hosts
-// derive the turn from their clocks; a difference between the clocks makes two
-// owners overlap for as long, and the target sheds what is too much. Shorter
-// turns lose more to the pause before each change, longer ones let the queue
-// of a host without such a slot grow towards the usual longest wait of 5 s.
-const turnLength = 10 * time.Second
-
-// advance splits the slots again when a new turn has begun.
+// advance gives this host its slots of the present turn.
 func (g *group) advance(now time.Time) {
-	if turn := now.UnixNano() / int64(turnLength); turn != g.turn {
-		g.split(now)
+	length := int64(g.split.turnLength())
+	turn := now.UnixNano() / length
+	if turn == g.turn {
+		return
 	}
-}
-
-// split gives this host its slots at the targets that take work.
-func (g *group) split(now time.Time) {
-	g.turn = now.UnixNano() / int64(turnLength)
-	g.turnEnds = time.Unix(0, (g.turn+1)*int64(turnLength))
-	byID := make(map[pimentospread.TargetID]*targetLimit, len(g.targets))
-	var open []pool.Target
-	for i, t := range g.targets {
-		byID[t.id] = t
+	g.turn, g.turnEnds = turn, time.Unix(0, (turn+1)*length)
+	for _, t := range g.targets {
 		t.grow(now)
 		t.lowered = t.full() - t.limit
 		t.owned, t.leaving = t.owned[:0], 0
-		if !t.closed() {
-			open = append(open, g.release[i])
-		}
 	}
-	next := split(open, g.live, g.turn+1)[g.self]
-	for _, s := range split(open, g.live, g.turn)[g.self] {
-		t := byID[s.target]
+	next := g.split.owned(g.self, turn+1)
+	for _, s := range g.split.owned(g.self, turn) {
+		t := g.byID[s.target]
 		t.owned = append(t.owned, s.number)
 		if !slices.Contains(next, s) {
 			t.leaving++
 		}
 	}
-	g.own, g.ranked = g.own[:0], g.ranked[:0]
+	g.own = g.own[:0]
 	for _, t := range g.targets {
 		t.limit = max(0, t.full()-t.lowered)
 		if len(t.owned) > 0 {
 			g.own = append(g.own, t)
 		}
 	}
+}
+
+// divide splits the slots over the live hosts again. Targets that take no new work have no part in it.
+func (g *group) divide(now time.Time) {
+	g.byID = make(map[pimentospread.TargetID]*targetLimit, len(g.targets))
+	var open []pool.Target
+	for i, t := range g.targets {
+		g.byID[t.id] = t
+		if !t.closed() {
+			open = append(open, g.release[i])
+		}
+	}
+	g.split = newSplit(open, g.live)
+	g.ranked = g.ranked[:0]
 	for _, id := range rank(open, g.self) {
-		g.ranked = append(g.ranked, byID[id])
+		g.ranked = append(g.ranked, g.byID[id])
 	}
+	g.turn = noTurn
+	g.advance(now)
 }
 
 // pick returns the target with a free owned slot that was used least, or the
 // target for the spare slot. The spare slot is for requests for which no owned
-// slot can become free: their targets are excluded, cold or resting.
+// slot becomes free soon: their targets are excluded, cold or resting.
 func (g *group) pick(now time.Time, excluded []pimentospread.TargetID) *targetLimit {
 	g.advance(now)
 	var best *targetLimit
-	busy := false
+	busy := len(g.own) == 0 && g.split.slotless(g.self)
 	for _, t := range g.own {
 		if slices.Contains(excluded, t.id) {
 			continue
 		}
 		usable := t.usable(now)
-		busy = busy || usable > 0
+		busy = busy || usable > 0 || t.handsOver(now)
 		if t.running >= usable {
 			continue
 		}
@@ -140,7 +145,8 @@
 
 // handingOver says that a request of mean length would run past the turn.
 func (g *group) handingOver(now time.Time) bool {
-	pause := min(g.took, turnLength.Seconds()/2)
+	owned := g.split.turnLength().Seconds() * float64(len(g.split.rest))
+	pause := min(g.took, owned/2)
 	return g.turnEnds.Sub(now).Seconds() < pause
 }
 
--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -78,7 +78,7 @@
 // to one pool only, so the first target identifies the group of services that share it.
 func (l *Limiter) configureGroup(now time.Time, s Service, done map[pimentospread.TargetID]*group, known map[pimentospread.TargetID]*targetLimit) *group {
 	if len(s.Targets) == 0 {
-		return &group{}
+		return &group{split: &split{}}
 	}
 	if g := done[s.Targets[0].ID]; g != nil {
 		return g
@@ -96,7 +96,7 @@
 		g.targets = append(g.targets, l.configureTarget(now, t, g, known[t.ID]))
 	}
 	g.live, g.self = l.live, l.self
-	g.split(now)
+	g.divide(now)
 	for _, t := range g.targets {
 		if known[t.id] == nil {
 			t.limit = t.full()
@@ -167,7 +167,7 @@
 		return
 	}
 	if t.report(now, report) {
-		t.group.split(now)
+		t.group.divide(now)
 	}
 }
 
--- a/admission/limiter_test.go
+++ b/admission/limiter_test.go
@@ -29,64 +29,66 @@
 	}
 }
 
-func healthy(id pimentospread.TargetID, running pimentospread.Slots) pimentospread.LoadReport {
-	return pimentospread.LoadReport{Target: id, Healthy: true, Running: running}
+func healthy(running pimentospread.Slots) pimentospread.LoadReport {
+	return pimentospread.LoadReport{Target: 1, Healthy: true, Running: running}
 }
 
 // Guards against a limit that does not follow results, reports and the release
 // as the design says. One host owns both slots of target 1 and of target 2.
 func TestLimitFollowsWhatIsLearned(t *testing.T) {
 	const shed, timeout, failed, done = pimentospread.ResultShed, pimentospread.ResultTimeout, pimentospread.ResultFailed, pimentospread.ResultDone
-	finish := func(l *Limiter, r pimentospread.Result, took time.Duration) {
-		l.targets[1].start(start)
-		l.Finish(start, 1, r, took)
+	type step func(*Limiter, Service)
+	finish := func(r pimentospread.Result, took time.Duration) step {
+		return func(l *Limiter, _ Service) {
+			l.targets[1].start(start)
+			l.Finish(start, 1, r, took)
+		}
 	}
-	report := func(r pimentospread.LoadReport) func(*Limiter, Service) {
+	report := func(r pimentospread.LoadReport) step {
 		return func(l *Limiter, _ Service) { l.Report(start, r) }
 	}
+	change := func(edit func(*Service)) step {
+		return func(l *Limiter, s Service) {
+			edit(&s)
+			l.Configure(start, []Service{s}, hostIDs(1), "host-0")
+		}
+	}
+	unhealthy, draining := pimentospread.LoadReport{Target: 1}, healthy(0)
+	draining.Draining = true
+	cold := healthy(0)
+	cold.Cold = true
+	both, one, none := map[pimentospread.TargetID]int{1: 2, 2: 2}, map[pimentospread.TargetID]int{1: 1, 2: 2}, map[pimentospread.TargetID]int{2: 2}
 	scenarios := map[string]struct {
-		act   func(*Limiter, Service)
+		steps []step
 		after time.Duration
 		want  map[pimentospread.TargetID]int
 	}{
-		"nothing learned":                  {func(*Limiter, Service) {}, 0, map[pimentospread.TargetID]int{1: 2, 2: 2}},
-		"shed halves":                      {func(l *Limiter, _ Service) { finish(l, shed, 0) }, 0, map[pimentospread.TargetID]int{1: 1, 2: 2}},
-		"timeout halves":                   {func(l *Limiter, _ Service) { finish(l, timeout, 0) }, 0, map[pimentospread.TargetID]int{1: 1, 2: 2}},
-		"one slot grows in a second":       {func(l *Limiter, _ Service) { finish(l, shed, 0) }, time.Second, map[pimentospread.TargetID]int{1: 2, 2: 2}},
-		"a second shed closes for a while": {func(l *Limiter, _ Service) { finish(l, shed, 0); finish(l, shed, 0) }, 0, map[pimentospread.TargetID]int{2: 2}},
-		"a fast failure halves": {func(l *Limiter, _ Service) {
-			finish(l, done, time.Second)
-			finish(l, failed, time.Millisecond)
-		}, 0, map[pimentospread.TargetID]int{1: 1, 2: 2}},
-		"a slow failure does not count": {func(l *Limiter, _ Service) {
-			finish(l, done, time.Second)
-			finish(l, failed, time.Second)
-		}, 0, map[pimentospread.TargetID]int{1: 2, 2: 2}},
-		"a cancelled attempt does not count": {func(l *Limiter, _ Service) { finish(l, pimentospread.ResultCancelled, 0) }, 0, map[pimentospread.TargetID]int{1: 2, 2: 2}},
-		"idle report raises nothing": {func(l *Limiter, _ Service) {
-			finish(l, timeout, 0)
-			l.Report(start, healthy(1, 0))
-		}, 0, map[pimentospread.TargetID]int{1: 1, 2: 2}},
-		"overload report lowers":    {report(healthy(1, 4)), 0, map[pimentospread.TargetID]int{1: 1, 2: 2}},
-		"overload report wears off": {report(healthy(1, 4)), reportLife, map[pimentospread.TargetID]int{1: 2, 2: 2}},
-		"unhealthy target":          {report(pimentospread.LoadReport{Target: 1}), 0, map[pimentospread.TargetID]int{2: 2}},
-		"draining by report":        {report(pimentospread.LoadReport{Target: 1, Healthy: true, Draining: true}), time.Hour, map[pimentospread.TargetID]int{2: 2}},
-		"draining by release": {func(l *Limiter, s Service) {
-			s.Targets[0].State = pool.Draining
-			l.Configure(start, []Service{s}, hostIDs(1), "host-0")
-		}, time.Hour, map[pimentospread.TargetID]int{2: 2}},
-		"cold by report":  {report(pimentospread.LoadReport{Target: 1, Healthy: true, Cold: true}), 9 * time.Second, map[pimentospread.TargetID]int{1: 1, 2: 2}},
-		"cold start ends": {report(pimentospread.LoadReport{Target: 1, Healthy: true, Cold: true}), 10 * time.Second, map[pimentospread.TargetID]int{1: 2, 2: 2}},
-		"new target starts cold": {func(l *Limiter, s Service) {
-			s.Targets = append(s.Targets, pool.Target{ID: 3, Slots: 2})
-			l.Configure(start, []Service{s}, hostIDs(1), "host-0")
-		}, 0, map[pimentospread.TargetID]int{1: 2, 2: 2, 3: 1}},
+		"nothing learned":                    {nil, 0, both},
+		"shed halves":                        {[]step{finish(shed, 0)}, 0, one},
+		"timeout halves":                     {[]step{finish(timeout, 0)}, 0, one},
+		"one slot grows in a second":         {[]step{finish(shed, 0)}, time.Second, both},
+		"a second shed closes for a while":   {[]step{finish(shed, 0), finish(shed, 0)}, 0, none},
+		"a fast failure halves":              {[]step{finish(done, time.Second), finish(failed, time.Millisecond)}, 0, one},
+		"a slow failure does not count":      {[]step{finish(done, time.Second), finish(failed, time.Second)}, 0, both},
+		"a cancelled attempt does not count": {[]step{finish(pimentospread.ResultCancelled, 0)}, 0, both},
+		"idle report raises nothing":         {[]step{finish(timeout, 0), report(healthy(0))}, 0, one},
+		"overload report lowers":             {[]step{report(healthy(4))}, 0, one},
+		"overload report wears off":          {[]step{report(healthy(4))}, reportLife, both},
+		"unhealthy target":                   {[]step{report(unhealthy)}, 0, none},
+		"draining by report":                 {[]step{report(draining)}, time.Hour, none},
+		"draining by release":                {[]step{change(func(s *Service) { s.Targets[0].State = pool.Draining })}, time.Hour, none},
+		"cold by report":                     {[]step{report(cold)}, 9 * time.Second, one},
+		"cold start ends":                    {[]step{report(cold)}, 10 * time.Second, both},
+		"new target starts cold": {[]step{change(func(s *Service) { s.Targets = append(s.Targets, pool.Target{ID: 3, Slots: 2}) })}, 0,
+			map[pimentospread.TargetID]int{1: 2, 2: 2, 3: 1}},
 	}
 	for name, s := range scenarios {
 		t.Run(name, func(t *testing.T) {
 			service := testService(2, 2)
 			l := newTestLimiter(service, 1)
-			s.act(l, service)
+			for _, act := range s.steps {
+				act(l, service)
+			}
 			if diff := cmp.Diff(s.want, takeAll(l, start.Add(s.after))); diff != "" {
 				t.Error(diff)
 			}
@@ -109,6 +111,30 @@
 	}
 }
 
+// Guards against a cold target that gets its first slot from each host instead
+// of one from all hosts together, and against a leaving host that stops serving its queue.
+func TestColdTargetAndLeavingHost(t *testing.T) {
+	hosts, s := hostIDs(8), testService(14, 3)
+	grown := testService(15, 3)
+	for age, want := range map[time.Duration]int{0: 1, 5 * time.Second: 2, 10 * time.Second: 3} {
+		got := 0
+		for _, h := range hosts {
+			l := NewLimiter(LimiterDeps{})
+			l.Configure(start, []Service{s}, hosts, h)
+			l.Configure(start, []Service{grown}, hosts, h)
+			got += takeAll(l, start.Add(age))[15]
+		}
+		if got != want {
+			t.Errorf("all hosts use %d slots of a target that is %s old, want %d", got, age, want)
+		}
+	}
+	l := newTestLimiter(s, 8)
+	l.Configure(start, []Service{s}, hosts[1:], hosts[0])
+	if got := len(takeAll(l, start)); got != 1 {
+		t.Errorf("a leaving host uses %d targets at a time, want 1", got)
+	}
+}
+
 // Guards against retries that add load: more than one for ten first attempts,
 // or any while the pool sheds more than half of the last 100 attempts.
 func TestRetryBudget(t *testing.T) {
--- a/admission/load_test.go
+++ b/admission/load_test.go
@@ -62,13 +62,13 @@
 	first, last int
 }
 
-func newLoad(s Service, build func(host int) loadHost) *load {
+func newLoad(s Service, hosts int, build func(host int) loadHost) *load {
 	l := &load{
 		now: start, means: map[pimentospread.Class]time.Duration{urgent: 100 * time.Millisecond, low: 300 * time.Millisecond},
 		offered: map[pimentospread.Class][]int{}, done: map[pimentospread.Class][]int{},
 		slotTime: map[pimentospread.Class]float64{}, byCaller: map[pimentospread.CallerID]int{}, results: map[pimentospread.Result]int{},
 	}
-	for h := range loadHosts {
+	for h := range hosts {
 		l.hosts = append(l.hosts, build(h))
 	}
 	for _, t := range s.Targets {
@@ -199,6 +199,9 @@
 			l.attempt(h, w, other)
 			return
 		}
+		h.Offer(l.now, w)
+		l.pump(h)
+		return
 	}
 	h.Ended(l.now, 1, took)
 	if result == pimentospread.ResultDone {
--- a/admission/main_test.go
+++ b/admission/main_test.go
@@ -62,11 +62,14 @@
 	}
 }
 
-// poolShapes are the pools of the two deployments, each on 8 hosts.
+// poolShapes are the pools of the two deployments on 8 hosts, and the smallest
+// one on 9 hosts, where there are fewer slots than hosts.
 var poolShapes = []struct {
 	name    string
 	targets int
 	slots   pimentospread.Slots
+	hosts   int
 }{
-	{"auction-desk 14x2", 14, 2}, {"cert-office 4x2", 4, 2}, {"watchdesk 14x3", 14, 3}, {"mapstore 4x3", 4, 3},
+	{"auction-desk 14x2", 14, 2, 8}, {"cert-office 4x2", 4, 2, 8}, {"watchdesk 14x3", 14, 3, 8}, {"mapstore 4x3", 4, 3, 8},
+	{"cert-office 4x2 on 9 hosts", 4, 2, 9},
 }
--- a/admission/outcome_test.go
+++ b/admission/outcome_test.go
@@ -1,25 +1,22 @@
 package admission
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"testing"
 
 	"pimentospread"
 )
 
-const loadHosts = 8
-
 // policies are the ways to admit and place that a run compares.
-func policies(s Service) map[string]func(int) loadHost {
+func policies(s Service, hosts int) map[string]func(int) loadHost {
 	placement := func(h int) *Limiter {
 		l := NewLimiter(LimiterDeps{})
-		l.Configure(start, []Service{s}, hostIDs(loadHosts), hostIDs(loadHosts)[h])
+		l.Configure(start, []Service{s}, hostIDs(hosts), hostIDs(hosts)[h])
 		return l
 	}
 	queue := func() *Queue {
 		q := NewQueue(QueueDeps{})
-		q.Configure(start, []Service{s}, hostIDs(loadHosts), "")
+		q.Configure(start, []Service{s}, hostIDs(hosts), "")
 		return q
 	}
 	blind := func(least bool) func(int) loadHost {
@@ -37,11 +34,11 @@
 }
 
 // eachShape runs the test for each pool of the deployments.
-func eachShape(t *testing.T, run func(*testing.T, Service)) {
+func eachShape(t *testing.T, run func(*testing.T, Service, int)) {
 	for _, shape := range poolShapes {
 		t.Run(shape.name, func(t *testing.T) {
 			t.Parallel()
-			run(t, testService(shape.targets, shape.slots))
+			run(t, testService(shape.targets, shape.slots), shape.hosts)
 		})
 	}
 }
@@ -69,9 +66,9 @@
 // bounded: the highest use at a time and the highest average use of a target,
 // each over the mean use.
 func TestImbalance(t *testing.T) {
-	eachShape(t, func(t *testing.T, s Service) {
+	eachShape(t, func(t *testing.T, s Service, hosts int) {
 		for _, name := range []string{"product", "random", "least reported load"} {
-			l := newLoad(s, policies(s)[name])
+			l := newLoad(s, hosts, policies(s, hosts)[name])
 			for _, g := range l.targets {
 				g.queues = true
 			}
@@ -91,17 +88,18 @@
 }
 
 // Guards against a flood of the least urgent class that takes service from the
-// urgent class or wastes the slots that the urgent class leaves.
+// urgent class or wastes the slots that the urgent class leaves. The flood
+// lasts 5 s longer than the urgent work, so that all of that has ended.
 func TestFloodOfLeastUrgent(t *testing.T) {
-	eachShape(t, func(t *testing.T, s Service) {
+	eachShape(t, func(t *testing.T, s Service, hosts int) {
 		reports := stream{urgent, callers(100), 0.3 * capacity(s) / 0.1, 0, 60}
-		maps := stream{low, callers(100), 10 * capacity(s) / 0.3, 0, 60}
+		maps := stream{low, callers(100), 10 * capacity(s) / 0.3, 0, 65}
 		for _, name := range []string{"product", "first come"} {
-			alone, flooded := newLoad(s, policies(s)[name]), newLoad(s, policies(s)[name])
-			alone.run(60, 2, reports)
-			flooded.run(60, 2, reports, maps)
-			kept := float64(sum(flooded.done[urgent], 0, 60)) / float64(sum(alone.done[urgent], 0, 60))
-			used := flooded.slotTime[low] / (60*capacity(s) - flooded.slotTime[urgent])
+			alone, flooded := newLoad(s, hosts, policies(s, hosts)[name]), newLoad(s, hosts, policies(s, hosts)[name])
+			alone.run(65, 2, reports)
+			flooded.run(65, 2, reports, maps)
+			kept := float64(sum(flooded.done[urgent], 0, 65)) / float64(sum(alone.done[urgent], 0, 65))
+			used := flooded.slotTime[low] / (65*capacity(s) - flooded.slotTime[urgent])
 			t.Logf("%-10s urgent keeps %.4f, flood gets %.4f of the rest, %d shed", name, kept, used, flooded.results[pimentospread.ResultShed])
 			if name == "product" && (kept < 0.99 || used < 0.9) {
 				t.Errorf("urgent keeps %.4f, want 0.99; flood gets %.4f of the rest, want 0.9", kept, used)
@@ -114,12 +112,12 @@
 // against an urgent flood that starves the lower class for good. The rates add
 // up several runs, because one second of one run varies by several percent.
 func TestUrgentFloodAfterLowFlood(t *testing.T) {
-	eachShape(t, func(t *testing.T, s Service) {
+	eachShape(t, func(t *testing.T, s Service, hosts int) {
 		runs := uint64(20 * 8 / capacity(s))
 		for _, name := range []string{"product", "first come"} {
 			early, steady, starved := 0, 0, 0
 			for seed := range runs {
-				l := newLoad(s, policies(s)[name])
+				l := newLoad(s, hosts, policies(s, hosts)[name])
 				l.run(20, seed, stream{low, callers(100), 10 * capacity(s) / 0.3, 0, 20}, stream{urgent, callers(100), 10 * capacity(s) / 0.1, 5, 20})
 				early += sum(l.done[urgent], 6, 7)
 				steady += sum(l.done[urgent], 8, 20)
@@ -138,10 +136,10 @@
 // takes their share. Each of the others sends twice an equal share of the
 // capacity, so that all callers always wait and equal shares are due.
 func TestFairnessOfCallers(t *testing.T) {
-	eachShape(t, func(t *testing.T, s Service) {
+	eachShape(t, func(t *testing.T, s Service, hosts int) {
 		share := capacity(s) / 0.1 / 10
 		for _, name := range []string{"product", "first come"} {
-			l := newLoad(s, policies(s)[name])
+			l := newLoad(s, hosts, policies(s, hosts)[name])
 			l.run(60, 3, stream{urgent, callers(9), 18 * share, 0, 60}, stream{urgent, []uint64{10}, 20 * share, 0, 60})
 			least, total, squares := l.byCaller[1], 0, 0
 			for _, n := range l.byCaller {
@@ -159,15 +157,15 @@
 // Guards against targets that attract work by reporting idle while they answer
 // nothing or fail at once. The load is 0.4 of the capacity.
 func TestMisleadingTargets(t *testing.T) {
-	eachShape(t, func(t *testing.T, s Service) {
+	eachShape(t, func(t *testing.T, s Service, hosts int) {
 		lost := map[string]float64{}
 		for _, name := range []string{"product", "random", "least reported load"} {
-			l := newLoad(s, policies(s)[name])
+			l := newLoad(s, hosts, policies(s, hosts)[name])
 			l.targets[0].silent, l.targets[1].failed = true, true
 			l.run(60, 4, stream{urgent, callers(100), 0.4 * capacity(s) / 0.1, 0, 60})
-			n := fmt.Sprint(l.results[pimentospread.ResultTimeout], " timeouts, ", l.results[pimentospread.ResultFailed], " failures, ", l.results[pimentospread.ResultShed], " shed")
 			lost[name] = 1 - float64(sum(l.done[urgent], 0, 60))/float64(sum(l.offered[urgent], 0, 60))
-			t.Logf("%-20s %s, %.4f of the requests without answer", name, n, lost[name])
+			t.Logf("%-20s %d timeouts, %d failures, %d shed, %.4f of the requests without answer", name,
+				l.results[pimentospread.ResultTimeout], l.results[pimentospread.ResultFailed], l.results[pimentospread.ResultShed], lost[name])
 		}
 		if lost["product"] > lost["random"] || lost["product"] > lost["least reported load"] {
 			t.Errorf("the product leaves more requests without answer than a baseline: %v", lost)
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -32,7 +32,7 @@
 		s.Classes = []policy.Class{rule(low, 1, 8), rule(urgent, 9, 4), rule("bid", 9, 5)}
 		q := NewQueue(QueueDeps{})
 		q.Configure(start, []Service{s}, hostIDs(2), "host-0")
-		now, sequence, pending := start, uint64(0), 0
+		now, sequence := start, uint64(0)
 		l := ledger{t, map[pimentospread.RequestID]pimentospread.Work{}}
 		refused := func(all []pimentospread.Refusal) {
 			for _, r := range all {
@@ -68,15 +68,13 @@
 				refused(q.Expire(now))
 			},
 			"configure": func(t *rapid.T) {
-				classes := rapid.IntRange(0, 3).Draw(t, "classes")
 				changed := s
-				changed.Classes = s.Classes[:classes]
+				changed.Classes = s.Classes[:rapid.IntRange(0, 3).Draw(t, "classes")]
 				q.Configure(now, []Service{changed}, hostIDs(2), "host-0")
 				q.Configure(now, []Service{s}, hostIDs(2), "host-0")
 			},
 			"": func(t *rapid.T) {
-				pending = len(q.refused)
-				if got := q.Waiting(1) + pending; got != len(l.waiting) {
+				if got := q.Waiting(1) + len(q.refused); got != len(l.waiting) {
 					t.Fatalf("%d requests wait or are refused, want %d", got, len(l.waiting))
 				}
 				if q.Waiting(1) > 8 || len(q.expiry) != q.Waiting(1) {
@@ -112,11 +110,11 @@
 		},
 		"callers are served in turn": {
 			offers: []offer{{1, low, 16}, {2, low, 2}, {3, low, 4}}, turns: 12,
-			want: map[pimentospread.Class]map[pimentospread.CallerID]int{low: {1: 6, 2: 2, 3: 4}},
+			want: map[pimentospread.Class]map[pimentospread.CallerID]int{low: {1: 6, 2: 2, 3: 4}, urgent: {}},
 		},
 		"the caller with the most requests yields in a full class": {
 			offers: []offer{{1, low, 16}, {2, low, 16}, {3, low, 16}, {4, low, 16}, {5, low, 16}}, turns: 64,
-			want: map[pimentospread.Class]map[pimentospread.CallerID]int{low: {1: 13, 2: 13, 3: 13, 4: 13, 5: 12}},
+			want: map[pimentospread.Class]map[pimentospread.CallerID]int{low: {1: 13, 2: 13, 3: 13, 4: 13, 5: 12}, urgent: {}},
 		},
 		"urgent work pushes out less urgent work": {
 			offers: []offer{{1, low, 16}, {2, low, 16}, {3, low, 16}, {4, low, 16}, {5, urgent, 8}}, turns: 64,
@@ -134,12 +132,9 @@
 					q.Offer(start, work(o.caller, sequence, o.class, start))
 				}
 			}
-			got := map[pimentospread.Class]map[pimentospread.CallerID]int{}
+			got := map[pimentospread.Class]map[pimentospread.CallerID]int{low: {}, urgent: {}}
 			for range s.turns {
 				w, _ := q.Next(start, 1)
-				if got[w.Class] == nil {
-					got[w.Class] = map[pimentospread.CallerID]int{}
-				}
 				got[w.Class][w.Caller]++
 			}
 			if diff := cmp.Diff(s.want, got); diff != "" {
--- a/admission/split.go
+++ b/admission/split.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/binary"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -17,10 +18,89 @@
 	number pimentospread.Slots
 }
 
-// splitter assigns the slots of a pool to hosts. It matches slots and hosts in
-// the order of their rendezvous score, so that a host that joins or dies
-// changes the assignment only along the chains that start at its own slots.
-type splitter struct {
+const (
+	// shareTime is how long a host owns a slot that does not divide evenly, or
+	// does without one, whichever is shorter. Each change of owner loses the
+	// pause before it; a host without such a slot gathers a queue, which stays
+	// within the usual longest wait of 5 s.
+	shareTime = 10 * time.Second
+	// slotlessTime bounds how long a host owns no slot at all when there are
+	// fewer slots than hosts. Urgent requests wait for as long.
+	slotlessTime = 2 * time.Second
+)
+
+// split is the assignment of the slots of a pool to hosts. Each host owns the
+// same number of slots. Those that do not divide evenly move on a ring of all
+// hosts, so that each host owns as many as the others over time. Hosts derive
+// the turn from their clocks; a difference between clocks makes two owners
+// overlap for as long, and the target sheds what is too much.
+type split struct {
+	base map[pimentospread.HostID][]slot
+	rest []slot
+	ring []pimentospread.HostID
+}
+
+// newSplit assigns every slot of the targets to one live host.
+func newSplit(targets []pool.Target, live []pimentospread.HostID) *split {
+	s := &split{ring: slices.Clone(live)}
+	if len(targets) == 0 || len(live) == 0 {
+		return s
+	}
+	slices.SortFunc(s.ring, func(a, b pimentospread.HostID) int {
+		return cmp.Or(cmp.Compare(score(slot{}, a), score(slot{}, b)), cmp.Compare(a, b))
+	})
+	base, rest := divide(targets, len(live))
+	s.rest = rest
+	each := len(base) / len(live)
+	m := matching{
+		hosts: live,
+		taken: make(map[slot]bool, len(base)),
+		owned: make(map[pimentospread.HostID][]slot, len(live)),
+		at:    map[hostTarget]int{},
+	}
+	m.assign(base, each, 1)
+	m.assign(base, each, each)
+	s.base = m.owned
+	return s
+}
+
+// owned returns the slots of the host in the turn. The slots that do not
+// divide evenly stay at equal distances on the ring. In each turn as few of
+// them as possible move, by one host each.
+func (s *split) owned(host pimentospread.HostID, turn int64) []slot {
+	owned := slices.Clone(s.base[host])
+	hosts, moving := int64(len(s.ring)), int64(len(s.rest))
+	for i, t := range s.rest {
+		if s.ring[(int64(i)*hosts+turn)/moving%hosts] == host {
+			owned = append(owned, t)
+		}
+	}
+	return owned
+}
+
+// slotless says that the live host owns no slot in some turns.
+func (s *split) slotless(host pimentospread.HostID) bool {
+	return len(s.rest) > 0 && len(s.base) == 0 && slices.Contains(s.ring, host)
+}
+
+// turnLength is how long the split stays the same. A slot stays at a host for
+// as many turns as there are moving slots.
+func (s *split) turnLength() time.Duration {
+	moving, without := len(s.rest), len(s.ring)-len(s.rest)
+	switch {
+	case moving == 0:
+		return shareTime
+	case len(s.base) == 0:
+		return slotlessTime / time.Duration(without)
+	default:
+		return shareTime / time.Duration(min(moving, without))
+	}
+}
+
+// matching pairs slots with hosts in the order of their rendezvous score, so
+// that a host that joins or dies changes the assignment only along the chains
+// that start at its own slots.
+type matching struct {
 	hosts []pimentospread.HostID
 	taken map[slot]bool
 	owned map[pimentospread.HostID][]slot
@@ -33,34 +113,6 @@
 	target pimentospread.TargetID
 }
 
-// split assigns every slot of the targets to one live host. The numbers of
-// slots of two hosts differ by at most one. Slots that do not divide evenly
-// pass from host to host with each turn, so that all hosts own the same number
-// over time. When there are fewer slots than hosts, each host without a slot
-// shares one at the target that ranks first for it.
-func split(targets []pool.Target, live []pimentospread.HostID, turn int64) map[pimentospread.HostID][]slot {
-	s := splitter{
-		hosts: live,
-		taken: map[slot]bool{},
-		owned: make(map[pimentospread.HostID][]slot, len(live)),
-		at:    map[hostTarget]int{},
-	}
-	if len(targets) == 0 || len(live) == 0 {
-		return s.owned
-	}
-	base, rest := divide(targets, len(live))
-	each := len(base) / len(live)
-	s.assign(base, each, 1)
-	s.assign(base, each, each)
-	s.rotate(rest, turn)
-	for _, h := range live {
-		if len(s.owned[h]) == 0 {
-			s.owned[h] = []slot{{target: rank(targets, h)[0]}}
-		}
-	}
-	return s.owned
-}
-
 // divide separates the slots into as many as all hosts have in equal number,
 // and the rest. The rest takes as many slots from each target as from the
 // others, because the hosts that own them have more slots and use each less.
@@ -95,7 +147,7 @@
 
 // assign gives free slots to hosts, the pair with the highest score first, up
 // to the given numbers for each host and for each host at one target.
-func (s *splitter) assign(slots []slot, each, perTarget int) {
+func (m *matching) assign(slots []slot, each, perTarget int) {
 	type pair struct {
 		slot  slot
 		host  pimentospread.HostID
@@ -103,10 +155,10 @@
 	}
 	var pairs []pair
 	for _, t := range slots {
-		if s.taken[t] {
+		if m.taken[t] {
 			continue
 		}
-		for _, h := range s.hosts {
+		for _, h := range m.hosts {
 			pairs = append(pairs, pair{t, h, score(t, h)})
 		}
 	}
@@ -116,25 +168,12 @@
 	})
 	for _, p := range pairs {
 		at := hostTarget{p.host, p.slot.target}
-		if s.taken[p.slot] || len(s.owned[p.host]) >= each || s.at[at] >= perTarget {
+		if m.taken[p.slot] || len(m.owned[p.host]) >= each || m.at[at] >= perTarget {
 			continue
 		}
-		s.taken[p.slot] = true
-		s.at[at]++
-		s.owned[p.host] = append(s.owned[p.host], p.slot)
-	}
-}
-
-// rotate gives the slots to hosts at equal distances on a ring of all hosts,
-// one step further with each turn.
-func (s *splitter) rotate(slots []slot, turn int64) {
-	ring := slices.Clone(s.hosts)
-	slices.SortFunc(ring, func(a, b pimentospread.HostID) int {
-		return cmp.Or(cmp.Compare(score(slot{}, a), score(slot{}, b)), cmp.Compare(a, b))
-	})
-	for i, t := range slots {
-		h := ring[(i*len(ring)/len(slots)+int(turn%int64(len(ring))))%len(ring)]
-		s.owned[h] = append(s.owned[h], t)
+		m.taken[p.slot] = true
+		m.at[at]++
+		m.owned[p.host] = append(m.owned[p.host], p.slot)
 	}
 }
 
--- a/admission/target_limit.go
+++ b/admission/target_limit.go
@@ -94,7 +94,7 @@
 	}
 	t.grow(now)
 	n := min(int(t.limit), t.open(now))
-	if t.leaving > 0 && t.group.handingOver(now) {
+	if t.handsOver(now) {
 		n = min(n, len(t.owned)-t.leaving)
 	}
 	if now.Before(t.capEnds) {
@@ -103,6 +103,11 @@
 	return n
 }
 
+// handsOver says that owned slots are about to pass to another host and take no new request.
+func (t *targetLimit) handsOver(now time.Time) bool {
+	return t.leaving > 0 && t.group.handingOver(now)
+}
+
 // open returns how many owned slots a cold start leaves open. Slot 0 opens at
 // once and the last one after the whole cold start, so that all hosts together
 // start with one slot.
