Skip the average of slot use when no time has passed

Pick compares the average use of targets, and each comparison computed an exponential even within one instant. The comment on Queue now says that expired requests gather until Expire is called.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -29,7 +29,8 @@
 
 // Queue holds the requests that wait at one host. It implements
 // pimentospread.Admission. Every offered request leaves it exactly once: by
-// Next, by Remove or as a refusal of Offer or Expire.
+// Next, by Remove or as a refusal of Offer or Expire. Expired requests gather
+// until Expire is called, so its owner calls it on every tick.
 type Queue struct {
 	services  map[pimentospread.ServiceID]*serviceQueue
 	byRequest map[pimentospread.RequestID]*entry
--- a/admission/target_limit.go
+++ b/admission/target_limit.go
@@ -127,7 +127,11 @@
 
 // averageUse returns the share of the owned slots in use over the last seconds.
 func (t *targetLimit) averageUse(now time.Time) float64 {
-	keep := math.Exp(-max(0, now.Sub(t.usedAt).Seconds()) / useMemory.Seconds())
+	passed := now.Sub(t.usedAt).Seconds()
+	if passed <= 0 {
+		return t.use
+	}
+	keep := math.Exp(-passed / useMemory.Seconds())
 	t.use = keep*t.use + (1-keep)*float64(t.running)/t.full()
 	t.usedAt = now
 	return t.use
