--- a/control/build.go
+++ b/control/build.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"reflect"
 
 	"pimentospread"
 	"pimentospread/decide"
@@ -14,9 +15,10 @@
 	set := b.Content.Release.Set
 	pools := map[pimentospread.PoolName]pool.Pool{}
 	tables := map[pimentospread.PoolName]*pool.Table{}
+	active := b.tables()
 	for _, p := range set.TargetPools {
 		pools[p.Name] = p
-		tables[p.Name] = pool.NewTable(p, b.Content.Release.Seed)
+		tables[p.Name] = active.derive(p, b.Content.Release.Seed)
 	}
 	policies := map[pimentospread.PolicyName]policy.Policy{}
 	for _, p := range set.Policies {
@@ -33,6 +35,26 @@
 	return TablesBuilt{Content: b.Content, Base: b.Base, Services: services}
 }
 
+// activeTables are the pools of the active release with their tables.
+type activeTables map[pimentospread.PoolName]*decide.ServiceView
+
+func (b *Build) tables() activeTables {
+	active := activeTables{}
+	for _, s := range b.Services {
+		active[s.Pool.Name] = s
+	}
+	return active
+}
+
+// derive returns the table of a pool. A change mostly concerns one pool, and
+// the table of a large one takes long, so the others keep theirs.
+func (t activeTables) derive(p pool.Pool, seed uint64) *pool.Table {
+	if old, ok := t[p.Name]; ok && reflect.DeepEqual(old.Pool, p) {
+		return old.Table
+	}
+	return pool.NewTable(p, seed)
+}
+
 func byAddress(services map[pimentospread.ServiceID]*decide.ServiceView) map[netip.AddrPort]pimentospread.ServiceID {
 	all := map[netip.AddrPort]pimentospread.ServiceID{}
 	for id, s := range services {
--- a/control/cell.go
+++ b/control/cell.go
@@ -4,7 +4,6 @@
 package control
 
 import (
-	"maps"
 	"time"
 
 	"pimentospread"
@@ -45,15 +44,15 @@
 	sequence uint64
 	lastTick time.Time
 	watching bool
-	// known are the peers that were last handed out as the set of peers.
-	known   map[pimentospread.HostID]member.Host
-	release generations
-	start   startup
-	repair  repair
-	health  health
-	loading loading
-	view    *decide.View
-	leaving bool
+	// revision is that of the set of peers that was handed out last.
+	revision uint64
+	release  generations
+	start    startup
+	repair   repair
+	health   health
+	loading  loading
+	view     *decide.View
+	leaving  bool
 }
 
 // startup is how far a starting host has come.
@@ -118,6 +117,9 @@
 // Active returns the generation by which the host sends new flows.
 func (c *Cell) Active() pimentospread.Generation { return c.release.active }
 
+// Prepared returns the newest generation that every decider of the host has prepared.
+func (c *Cell) Prepared() pimentospread.Generation { return c.release.prepared }
+
 // Held returns the newest generation that the host has.
 func (c *Cell) Held() pimentospread.Generation { return c.release.held.generation() }
 
@@ -226,13 +228,8 @@
 
 // changePeers hands out the set of peers when it has changed.
 func (c *Cell) changePeers(a *Actions) {
-	known := map[pimentospread.HostID]member.Host{}
-	for _, p := range c.members.Peers() {
-		known[p.Host.ID] = p.Host
-	}
-	if c.known != nil && maps.Equal(known, c.known) {
-		return
+	if r := c.members.Revision(); r != c.revision {
+		c.revision = r
+		a.Peers = c.members.Addresses()
 	}
-	c.known = known
-	a.Peers = c.members.Addresses()
 }
--- /dev/null
+++ b/control/cell_test.go
@@ -0,0 +1,163 @@
+package control_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"pimentospread"
+	"pimentospread/control"
+)
+
+// inForce is the bound of the design page for a release at today's size.
+const inForce = 5 * time.Second
+
+func drainReport() control.TargetProbed {
+	return control.TargetProbed{Heard: true, Report: pimentospread.LoadReport{Healthy: true, Draining: true}}
+}
+
+// step draws one thing that can happen to a cell.
+func (s *sim) step(t *rapid.T) {
+	h := s.hosts[rapid.IntRange(0, len(s.hosts)-1).Draw(t, "host")]
+	target := pimentospread.TargetID(rapid.IntRange(1, 2).Draw(t, "target"))
+	switch rapid.SampledFrom([]string{
+		"publish", "publish", "kill", "start", "restart", "pause", "resume", "cut", "heal",
+		"platform", "lose", "down", "drain", "up", "roster", "wait", "wait",
+	}).Draw(t, "step") {
+	case "publish":
+		if s.platform.up {
+			s.platform.publish()
+		}
+	case "kill":
+		h.kill()
+	case "restart":
+		h.kill()
+		s.advance(3 * time.Second)
+		s.platform.publish()
+		h.start()
+	case "start":
+		if h.cell == nil {
+			h.start()
+		}
+	case "pause":
+		h.pause()
+	case "resume":
+		if h.paused && h.cell != nil {
+			h.resume()
+		}
+	case "cut":
+		s.cut(h.self.FailureDomain, rapid.IntRange(1, 2).Draw(t, "side"))
+	case "heal":
+		s.cut(h.self.FailureDomain, 0)
+	case "platform":
+		s.platform.setUp(!s.platform.up)
+	case "lose":
+		s.loss = rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(t, "loss")
+		s.platform.lost, s.platform.stale = s.loss, s.loss
+		s.platform.lag = rapid.SampledFrom([]time.Duration{5 * time.Millisecond, 800 * time.Millisecond, 3 * time.Second}).Draw(t, "lag")
+		s.disturbed = s.now
+	case "down":
+		s.probes[target] = control.TargetProbed{Target: target}
+	case "drain":
+		p := drainReport()
+		p.Target = target
+		s.probes[target] = p
+	case "up":
+		clear(s.probes)
+	case "roster":
+		s.platform.list(s.hosts[:rapid.IntRange(len(s.hosts)-2, len(s.hosts)).Draw(t, "listed")])
+	}
+	s.advance(time.Duration(rapid.IntRange(1, 4000).Draw(t, "milliseconds")) * time.Millisecond)
+}
+
+// repairAll ends all faults.
+func (s *sim) repairAll() {
+	s.loss, s.platform.lost, s.platform.stale, s.platform.lag = 0, 0, 0, 5*time.Millisecond
+	for _, h := range s.hosts {
+		s.side[h.self.FailureDomain] = 0
+		h.since = s.now
+		switch {
+		case h.cell == nil:
+			h.start()
+		case h.paused:
+			h.resume()
+		}
+	}
+	s.platform.setUp(true)
+	s.platform.list(s.hosts)
+}
+
+// TestCellConverges guards against generations that fall, releases that are
+// active before all live hosts have them, hosts that return with an old
+// release, and views that stay different after the last fault.
+func TestCellConverges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := rapid.IntRange(4, 9).Draw(t, "hosts")
+		s := newSim(rapid.Uint64().Draw(t, "seed"), hosts, rapid.IntRange(1, 4).Draw(t, "domains"), t.Fatalf)
+		s.bytes = nil
+		s.advance(5 * time.Second)
+		s.checkInForce()
+		for range rapid.IntRange(1, 25).Draw(t, "steps") {
+			s.step(t)
+		}
+		s.repairAll()
+		s.advance(inForce)
+		s.platform.publish()
+		s.advance(inForce)
+		s.checkInForce()
+		s.advance(20 * time.Second)
+		s.checkInForce()
+		s.checkAgreement()
+	})
+}
+
+// TestReleaseReachesAllAfterOneRelay guards against a release that stays at one
+// relay when the platform goes down right after it was accepted.
+func TestReleaseReachesAllAfterOneRelay(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(4, 9).Draw(t, "hosts"), rapid.IntRange(1, 4).Draw(t, "domains"), t.Fatalf)
+		s.bytes = nil
+		s.advance(time.Duration(rapid.IntRange(5000, 40000).Draw(t, "milliseconds")) * time.Millisecond)
+		s.platform.delivered = func() {
+			if s.platform.up {
+				s.platform.setUp(false)
+			}
+		}
+		s.platform.publish()
+		s.advance(inForce)
+		s.checkInForce()
+		// A restart in the outage must not bring an older generation back.
+		h := s.hosts[rapid.IntRange(0, len(s.hosts)-1).Draw(t, "restarted")]
+		h.kill()
+		s.advance(time.Duration(rapid.IntRange(1, 5000).Draw(t, "down")) * time.Millisecond)
+		h.start()
+		s.advance(2 * inForce)
+		s.checkInForce()
+		s.checkAgreement()
+	})
+}
+
+// TestPlatformCallsDoNotGrowWithHosts guards against hosts that watch without being relays.
+func TestPlatformCallsDoNotGrowWithHosts(t *testing.T) {
+	calls := map[int]int{}
+	for _, hosts := range []int{4, 8, 16} {
+		s := newSim(1, hosts, 2, t.Fatalf)
+		s.advance(30 * time.Second)
+		s.platform.calls = 0
+		s.bytes = map[pimentospread.MessageKind]int{}
+		for range 4 {
+			s.platform.publish()
+			s.advance(30 * time.Second)
+		}
+		calls[hosts] = s.platform.calls
+		total := 0
+		for _, n := range s.bytes {
+			total += n
+		}
+		t.Logf("%d hosts: %d calls in 2 min with 4 releases, %d bytes/s sent by a host (%v)", hosts, s.platform.calls, total/120/hosts, s.bytes)
+	}
+	if calls[4] != calls[8] || calls[8] != calls[16] {
+		t.Errorf("platform calls with 4, 8 and 16 hosts in two failure domains: %v, want the same", calls)
+	}
+}
--- /dev/null
+++ b/control/main_test.go
@@ -0,0 +1,23 @@
+package control_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed and the number of checks of the property tests, so
+// that every run gives the same verdict and leaves no files behind. Flags on the command line go first.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for name, value := range map[string]string{"rapid.seed": "20260401", "rapid.checks": "30", "rapid.nofailfile": "true"} {
+		if !given[name] {
+			if err := flag.Set(name, value); err != nil {
+				panic(err)
+			}
+		}
+	}
+	os.Exit(m.Run())
+}
--- /dev/null
+++ b/control/scenario_test.go
@@ -0,0 +1,169 @@
+package control_test
+
+import (
+	"testing"
+	"time"
+
+	"pimentospread"
+	"pimentospread/control"
+	"pimentospread/member"
+)
+
+// TestRestartWaitsForPlatform guards against a host that becomes ready with the
+// older release of its peers while the platform is slow.
+func TestRestartWaitsForPlatform(t *testing.T) {
+	s := newSim(1, 4, 2, t.Fatalf)
+	s.advance(5 * time.Second)
+	s.cut("domain-1", 1)
+	s.platform.publish()
+	s.advance(inForce)
+	// Of the hosts that have the release only one returns, and the others return with it to the old one.
+	for _, h := range s.hosts {
+		if h.self.FailureDomain == "domain-0" {
+			h.kill()
+		}
+	}
+	s.platform.lag = 3 * time.Second
+	s.cut("domain-1", 0)
+	s.hosts[0].start()
+	s.advance(2500 * time.Millisecond)
+	if h := s.hosts[0]; h.cell.Ready() {
+		t.Errorf("ready with generation %d before the platform answered, after it served %d", h.cell.Active(), h.served)
+	}
+	s.hosts[2].start()
+	s.advance(20 * time.Second)
+	s.checkInForce()
+}
+
+// TestJoinDuringOutage guards against a new host that stays alone because no roster lists it.
+func TestJoinDuringOutage(t *testing.T) {
+	s := newSim(1, 5, 2, t.Fatalf)
+	late := s.hosts[4]
+	late.kill()
+	s.hosts, s.seeds = s.hosts[:4], s.seeds[:4]
+	s.platform.list(s.hosts)
+	for _, h := range s.hosts {
+		h.start()
+	}
+	s.advance(inForce)
+	s.platform.setUp(false)
+	late.start()
+	s.hosts = append(s.hosts, late)
+	s.advance(2 * inForce)
+	s.checkInForce()
+	s.checkAgreement()
+}
+
+// TestPauseUnsettles guards against a host that goes by what it knew before it was paused.
+func TestPauseUnsettles(t *testing.T) {
+	s := newSim(1, 4, 2, t.Fatalf)
+	s.advance(inForce)
+	h := s.hosts[0]
+	h.pause()
+	s.advance(3 * time.Second)
+	h.kept = nil
+	h.resume()
+	if !h.view.Unsettled || len(h.view.Live) != 4 {
+		t.Errorf("after a pause: unsettled %v with %d live hosts, want true with 4", h.view.Unsettled, len(h.view.Live))
+	}
+	s.advance(time.Second)
+	if h.view.Unsettled {
+		t.Error("still unsettled after every peer was heard")
+	}
+	s.cut("domain-0", 1)
+	s.cut("domain-1", 2)
+	s.hosts[2].kill()
+	s.advance(4 * time.Second)
+	if !h.view.CutOff {
+		t.Error("not cut off after 4 s without any peer")
+	}
+}
+
+// TestRestartLearnsFlags guards against a host that becomes ready without the
+// flags of targets that were down a while ago, and then sends flows that were
+// moved meanwhile back to them.
+func TestRestartLearnsFlags(t *testing.T) {
+	s := newSim(1, 4, 2, t.Fatalf)
+	s.advance(inForce)
+	s.probes[1] = control.TargetProbed{Target: 1}
+	s.advance(inForce)
+	clear(s.probes)
+	s.advance(2 * inForce)
+	h := s.hosts[0]
+	if v := h.view; !v.Flagged[1] || v.Avoided[1] {
+		t.Fatalf("after the recovery: flagged %v, avoided %v, want flagged only", v.Flagged, v.Avoided)
+	}
+	h.kill()
+	s.advance(inForce)
+	h.start()
+	for !h.cell.Ready() {
+		s.advance(time.Millisecond)
+	}
+	if !h.view.Flagged[1] {
+		t.Error("ready without the flag of a target that was down")
+	}
+}
+
+// TestBehindUnsettles guards against a host that goes by its table after a
+// partition in which others have activated a newer release without it.
+func TestBehindUnsettles(t *testing.T) {
+	s := newSim(1, 4, 2, t.Fatalf)
+	s.advance(inForce)
+	s.cut("domain-1", 1)
+	s.platform.publish()
+	s.advance(inForce)
+	h := s.hosts[1]
+	s.cut("domain-1", 0)
+	unsettled := false
+	for h.view.Generation() < 2 {
+		s.advance(time.Millisecond)
+		unsettled = unsettled || h.view.Unsettled
+	}
+	if !unsettled {
+		t.Error("settled while peers send new flows by a release that is not prepared")
+	}
+}
+
+// TestStartTakesNewestRelease guards against a host that becomes ready, or
+// goes back, with a release older than one that it has heard of.
+func TestStartTakesNewestRelease(t *testing.T) {
+	s := newSim(1, 3, 1, t.Fatalf)
+	now := s.now
+	c := control.NewCell(now, control.Config{Self: s.hosts[0].self, Incarnation: 1, Seeds: s.seeds})
+	older := s.platform.release
+	s.platform.publish()
+	newer := s.platform.release
+	do := func(events ...control.Event) {
+		for _, e := range events {
+			if a := c.Handle(now, e); a.Build != nil {
+				c.Handle(now, a.Build.Run())
+			}
+		}
+	}
+	sequence := uint64(0)
+	beat := func(from int, g pimentospread.Generation) control.Event {
+		sequence++
+		h := member.Heartbeat{Sequence: sequence, Held: g, Prepared: g, Active: g, Ready: true}
+		return control.HeartbeatReceived{From: s.hosts[from].self.ID, Incarnation: 1, Heartbeat: h}
+	}
+	do(control.Tick{}, control.ReleaseRead{Content: older}, control.PlatformRead{Answered: true})
+	for range 5 {
+		now = now.Add(member.HeartbeatInterval)
+		do(control.Tick{}, beat(1, 1), beat(2, 1))
+	}
+	if c.Ready() {
+		t.Fatal("ready before a peer has told its flags")
+	}
+	do(beat(2, 2), control.ReplyReceived{From: s.hosts[1].self.ID})
+	if c.Ready() {
+		t.Fatalf("ready with generation %d, a live peer has 2", c.Active())
+	}
+	do(control.ReplyReceived{From: s.hosts[2].self.ID, Content: newer}, beat(1, 2), beat(2, 2))
+	if !c.Ready() || c.Active() != 2 {
+		t.Fatalf("ready %v with generation %d, want true with 2", c.Ready(), c.Active())
+	}
+	do(control.ReleaseRead{Content: older}, control.Tick{})
+	if c.Held() != 2 || c.Active() != 2 {
+		t.Errorf("held %d and active %d after an old release was read, want 2 and 2", c.Held(), c.Active())
+	}
+}
--- /dev/null
+++ b/control/sim_check_test.go
@@ -0,0 +1,132 @@
+package control_test
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"pimentospread"
+	"pimentospread/decide"
+)
+
+// known is the time after which hosts that reach each other know of each other:
+// the silence after which a host counts as dead, and its start.
+const known = 4 * time.Second
+
+// steady says that the host has run and reached the same hosts for a while.
+func (h *simHost) steady() bool {
+	return h.cell != nil && !h.paused && h.sim.now.Sub(h.since) >= known
+}
+
+// check compares the state of a host with what must hold at any moment.
+func (h *simHost) check(before pimentospread.Generation) {
+	s, active := h.sim, h.cell.Active()
+	if active < before {
+		s.fail("%s: active generation fell from %d to %d", h.self.ID, before, active)
+	}
+	if active > before && (h.steady() || h.since.Equal(h.started)) {
+		for _, o := range s.hosts {
+			if o != h && o.steady() && o.cell.Ready() && s.loss == 0 && s.connected(h, o) && o.cell.Prepared() < active {
+				s.fail("%s: generation %d is active, but %s has prepared only %d", h.self.ID, active, o.self.ID, o.cell.Prepared())
+			}
+		}
+	}
+	if h.cell.Ready() && !h.wasReady {
+		h.wasReady = true
+		h.checkRestart(active)
+	}
+}
+
+// checkAvoided guards against a target that is avoided while a decider of
+// another host would send its unknown flows to it without asking.
+func (h *simHost) checkAvoided(v *decide.View) {
+	for id := range v.Avoided {
+		if h.view != nil && h.view.Avoided[id] || !h.steady() || h.sim.loss > 0 {
+			continue
+		}
+		for _, o := range h.sim.hosts {
+			if !o.steady() || !o.cell.Ready() || !h.sim.connected(h, o) {
+				continue
+			}
+			for d, w := range o.loaded {
+				if !w.Flagged[id] {
+					h.sim.fail("%s: target %d is avoided, decider %d of %s does not flag it", h.self.ID, id, d, o.self.ID)
+				}
+			}
+		}
+	}
+}
+
+// checkRestart guards against a host that returns with an older release than it served before.
+func (h *simHost) checkRestart(active pimentospread.Generation) {
+	s := h.sim
+	if active >= h.served {
+		return
+	}
+	if s.platform.reaches(h) && s.platform.lost == 0 && s.now.Sub(s.disturbed) >= known {
+		s.fail("%s: ready with generation %d after %d, the platform is reachable", h.self.ID, active, h.served)
+	}
+	for _, o := range s.hosts {
+		if o != h && o.steady() && s.connected(h, o) && o.cell.Held() >= h.served {
+			s.fail("%s: ready with generation %d after %d, which %s has", h.self.ID, active, h.served, o.self.ID)
+		}
+	}
+}
+
+// checkInForce demands that every host that reaches the platform goes by the accepted generation.
+func (s *sim) checkInForce() {
+	g := s.platform.release.Release.Generation
+	for _, h := range s.hosts {
+		if h.cell == nil || s.side[h.self.FailureDomain] != 0 {
+			continue
+		}
+		if h.cell.Active() != g || h.view.Generation() != g || !h.view.Active || !h.cell.Ready() {
+			s.fail("%s: generation %d (held %d, prepared %d, ready %v) %s after %d was accepted",
+				h.self.ID, h.cell.Active(), h.cell.Held(), h.cell.Prepared(), h.cell.Ready(), s.now.Sub(s.platform.published), g)
+		}
+	}
+}
+
+// checkAgreement demands that the views of all hosts say the same.
+func (s *sim) checkAgreement() {
+	var first *simHost
+	for _, h := range s.hosts {
+		if h.cell == nil {
+			continue
+		}
+		if first == nil {
+			first = h
+		}
+		if v := h.view.Roster.Version; v != s.platform.roster.Version {
+			s.fail("%s: roster version %d, the platform has %d", h.self.ID, v, s.platform.roster.Version)
+		}
+		if d := cmp.Diff(first.summary(), h.summary()); d != "" {
+			s.fail("views of %s and %s differ:\n%s", first.self.ID, h.self.ID, d)
+		}
+	}
+}
+
+type summary struct {
+	Generation                             pimentospread.Generation
+	Roster                                 pimentospread.ObjectVersion
+	Active, Ready, Unsettled, CutOff       bool
+	Live                                   []pimentospread.HostID
+	FlaggedTargets, AvoidedTargets, Drains []pimentospread.TargetID
+}
+
+func (h *simHost) summary() summary {
+	v := h.view
+	t := summary{
+		Generation: v.Generation(), Roster: v.Roster.Version,
+		Active: v.Active, Ready: v.Ready, Unsettled: v.Unsettled, CutOff: v.CutOff,
+		FlaggedTargets: slices.Sorted(maps.Keys(v.Flagged)),
+		AvoidedTargets: slices.Sorted(maps.Keys(v.Avoided)),
+		Drains:         slices.Sorted(maps.Keys(v.Draining)),
+	}
+	for _, l := range v.Live {
+		t.Live = append(t.Live, l.ID)
+	}
+	return t
+}
--- /dev/null
+++ b/control/sim_test.go
@@ -0,0 +1,319 @@
+package control_test
+
+import (
+	"container/heap"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"pimentospread"
+	"pimentospread/control"
+	"pimentospread/decide"
+	"pimentospread/member"
+	"pimentospread/policy"
+	"pimentospread/pool"
+	"pimentospread/release"
+	"pimentospread/service"
+)
+
+const deciders = 2
+
+// sim runs cells under a fake clock with a fake network and a fake platform.
+type sim struct {
+	now      time.Time
+	queue    timers
+	random   *rand.Rand
+	hosts    []*simHost
+	byID     map[pimentospread.HostID]*simHost
+	platform simPlatform
+	// loss is the share of messages that are lost.
+	loss float64
+	// side cuts the network: domains on different sides do not reach each other. The platform is on side 0.
+	side map[pimentospread.FailureDomain]int
+	// disturbed is the time of the last fault or repair.
+	disturbed time.Time
+	probes    map[pimentospread.TargetID]control.TargetProbed
+	bytes     map[pimentospread.MessageKind]int
+	// seeds are the hosts that the settings of a starting host name.
+	seeds []member.Host
+	fail  func(format string, args ...any)
+}
+
+// simHost is one host; a restart gives it another cell.
+type simHost struct {
+	sim         *sim
+	self        member.Host
+	cell        *control.Cell
+	incarnation pimentospread.Incarnation
+	paused      bool
+	// since is the start, the end of the last pause or the last cut, after which others may not know the host.
+	since, started time.Time
+	view           *decide.View
+	// loaded are the views by which the deciders go.
+	loaded [deciders]*decide.View
+	// served is the highest generation in any view of any incarnation.
+	served pimentospread.Generation
+	// kept are the events that arrive during a pause.
+	kept     []control.Event
+	watches  map[pimentospread.ObjectKind]*simWatch
+	wasReady bool
+}
+
+type timer struct {
+	at    time.Time
+	order int
+	run   func()
+}
+
+type timers struct {
+	items []timer
+	order int
+}
+
+func (q *timers) Len() int { return len(q.items) }
+func (q *timers) Less(i, j int) bool {
+	if !q.items[i].at.Equal(q.items[j].at) {
+		return q.items[i].at.Before(q.items[j].at)
+	}
+	return q.items[i].order < q.items[j].order
+}
+func (q *timers) Swap(i, j int) { q.items[i], q.items[j] = q.items[j], q.items[i] }
+func (q *timers) Push(x any)    { q.items = append(q.items, x.(timer)) }
+func (q *timers) Pop() any {
+	last := q.items[len(q.items)-1]
+	q.items = q.items[:len(q.items)-1]
+	return last
+}
+
+func newSim(seed uint64, hosts, domains int, fail func(string, ...any)) *sim {
+	s := &sim{
+		now:    time.Unix(1_700_000_000, 0),
+		random: rand.New(rand.NewPCG(seed, 1)),
+		byID:   map[pimentospread.HostID]*simHost{},
+		side:   map[pimentospread.FailureDomain]int{},
+		probes: map[pimentospread.TargetID]control.TargetProbed{},
+		bytes:  map[pimentospread.MessageKind]int{},
+		fail:   fail,
+	}
+	s.platform = simPlatform{sim: s, up: true, lag: 5 * time.Millisecond}
+	for i := range hosts {
+		h := &simHost{sim: s, self: member.Host{
+			ID:            pimentospread.HostID(fmt.Sprintf("north-high-%02d", i)),
+			FailureDomain: pimentospread.FailureDomain(fmt.Sprintf("domain-%d", i%domains)),
+			PeerAddress:   netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(i + 1)}), 7000),
+			State:         member.Live,
+		}}
+		s.hosts = append(s.hosts, h)
+		s.seeds = append(s.seeds, h.self)
+		s.byID[h.self.ID] = h
+	}
+	s.platform.list(s.hosts)
+	s.platform.publish()
+	for _, h := range s.hosts {
+		h.start()
+	}
+	return s
+}
+
+func (s *sim) after(d time.Duration, run func()) {
+	s.queue.order++
+	heap.Push(&s.queue, timer{s.now.Add(d), s.queue.order, run})
+}
+
+func (s *sim) advance(d time.Duration) {
+	end := s.now.Add(d)
+	for s.queue.Len() > 0 && !s.queue.items[0].at.After(end) {
+		t := heap.Pop(&s.queue).(timer)
+		s.now = t.at
+		t.run()
+	}
+	s.now = end
+}
+
+func (s *sim) connected(a, b *simHost) bool {
+	return s.side[a.self.FailureDomain] == s.side[b.self.FailureDomain]
+}
+
+// cut puts a domain on a side of the partition; side 0 is the side of the platform.
+func (s *sim) cut(d pimentospread.FailureDomain, side int) {
+	s.side[d] = side
+	s.disturbed = s.now
+	for _, h := range s.hosts {
+		h.since = s.now
+	}
+	s.platform.interrupt()
+}
+
+func (s *sim) delay() time.Duration {
+	return time.Millisecond + time.Duration(s.random.Int64N(int64(20*time.Millisecond)))
+}
+
+func (s *sim) send(from *simHost, m pimentospread.Outbound) {
+	to, ok := s.byID[m.To]
+	if !ok {
+		return
+	}
+	s.count(from, m.Message)
+	if s.random.Float64() < s.loss {
+		return
+	}
+	incarnation, cell := from.incarnation, to.cell
+	s.after(s.delay(), func() {
+		if cell == nil || to.cell != cell || !s.connected(from, to) {
+			return
+		}
+		switch b := m.Message.(type) {
+		case *member.Heartbeat:
+			to.handle(control.HeartbeatReceived{From: from.self.ID, Incarnation: incarnation, Heartbeat: *b})
+		case *control.ReleaseQuery:
+			to.handle(control.QueryReceived{From: from.self.ID, Query: *b})
+		case *control.ReleaseReply:
+			e := control.ReplyReceived{From: from.self.ID, Reply: *b}
+			if len(b.Content) > 0 {
+				e.Content = s.unpack(b.Content)
+			}
+			to.handle(e)
+		}
+	})
+}
+
+func (s *sim) unpack(packed []byte) *control.Content {
+	c, err := control.Unpack(packed, decodeRelease)
+	if err != nil {
+		s.fail("unpack: %v", err)
+	}
+	return c
+}
+
+func (h *simHost) start() {
+	s := h.sim
+	h.incarnation = pimentospread.Incarnation(s.now.UnixNano())
+	h.since, h.started, s.disturbed = s.now, s.now, s.now
+	h.paused, h.view, h.kept, h.wasReady = false, nil, nil, false
+	h.loaded = [deciders]*decide.View{}
+	h.watches = map[pimentospread.ObjectKind]*simWatch{}
+	cell := control.NewCell(s.now, control.Config{Self: h.self, Incarnation: h.incarnation, Seeds: s.seeds, Deciders: deciders})
+	h.cell = cell
+	var tick func()
+	tick = func() {
+		if h.cell != cell {
+			return
+		}
+		if !h.paused {
+			h.handle(control.Tick{})
+		}
+		s.after(member.HeartbeatInterval, tick)
+	}
+	s.after(s.delay()*10, tick)
+}
+
+func (h *simHost) kill() {
+	h.cell, h.view = nil, nil
+	h.sim.disturbed = h.sim.now
+}
+
+func (h *simHost) pause() { h.paused, h.sim.disturbed = true, h.sim.now }
+
+func (h *simHost) resume() {
+	h.paused, h.since, h.sim.disturbed = false, h.sim.now, h.sim.now
+	kept := h.kept
+	h.kept = nil
+	// A ticker fires at once; what waits in the rings comes after it.
+	h.handle(control.Tick{})
+	for _, e := range kept {
+		h.handle(e)
+	}
+}
+
+// later delivers an event to this incarnation.
+func (h *simHost) later(d time.Duration, e control.Event) {
+	cell := h.cell
+	h.sim.after(d, func() {
+		if h.cell == cell {
+			h.handle(e)
+		}
+	})
+}
+
+func (h *simHost) handle(e control.Event) {
+	if h.paused {
+		h.kept = append(h.kept, e)
+		return
+	}
+	before := h.cell.Active()
+	a := h.cell.Handle(h.sim.now, e)
+	h.check(before)
+	for _, m := range a.Messages {
+		h.sim.send(h, m)
+	}
+	if a.Build != nil {
+		h.later(50*time.Millisecond, a.Build.Run())
+	}
+	if a.View != nil {
+		h.see(a.View)
+	}
+	for _, t := range a.Probes {
+		h.later(5*time.Millisecond, h.sim.probe(t))
+	}
+	if a.ReadPlatform {
+		h.sim.platform.read(h)
+	}
+	if a.Watch != nil {
+		h.sim.platform.watch(h, a.Watch.On)
+	}
+}
+
+func (h *simHost) see(v *decide.View) {
+	if h.view != nil && v.Generation() < h.view.Generation() {
+		h.sim.fail("%s: view fell from generation %d to %d", h.self.ID, h.view.Generation(), v.Generation())
+	}
+	h.checkAvoided(v)
+	h.view = v
+	h.served = max(h.served, v.Generation())
+	for d := range deciders {
+		cell := h.cell
+		h.sim.after(h.sim.delay()*3, func() {
+			// A ring keeps the order, and only the newest view in it counts.
+			if h.cell == cell && (h.loaded[d] == nil || h.loaded[d].Sequence < v.Sequence) {
+				h.loaded[d] = v
+				h.handle(control.ViewLoaded{Decider: d, Sequence: v.Sequence, Prepared: v.Generation()})
+			}
+		})
+	}
+}
+
+func (s *sim) probe(t pool.Target) control.TargetProbed {
+	if p, ok := s.probes[t.ID]; ok {
+		return p
+	}
+	return control.TargetProbed{Target: t.ID, Heard: true, Report: pimentospread.LoadReport{Healthy: true}}
+}
+
+func decodeRelease(data []byte) (*release.Release, error) {
+	var r release.Release
+	err := json.Unmarshal(data, &r)
+	return &r, err
+}
+
+// newRelease is a small release: tables are not what these tests are about.
+func newRelease(g pimentospread.Generation, targets int) *release.Release {
+	p := pool.Pool{Name: "watchdesk"}
+	var members []pimentospread.TargetID
+	for i := range targets {
+		id := pimentospread.TargetID(i + 1)
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(i)}), 8000)
+		p.Targets = append(p.Targets, pool.Target{
+			ID: id, Name: pimentospread.TargetName(fmt.Sprintf("watchdesk-%02d", i)), FlowAddress: address,
+			RequestAddress: address, HealthAddress: address, FailureDomain: "doi-ang", Slots: 3, Connections: 2000,
+		})
+		members = append(members, id)
+	}
+	p.Epochs = []pool.Epoch{{Members: members}}
+	q := policy.Defaults()
+	q.Name = "feed"
+	v := service.Service{ID: 1, Name: "watchdesk", Addresses: []netip.AddrPort{netip.MustParseAddrPort("127.0.2.1:443")}, Pool: "watchdesk", Policy: "feed"}
+	set := release.Set{Services: []service.Service{v}, TargetPools: []pool.Pool{p}, Policies: []policy.Policy{q}}
+	return &release.Release{Generation: g, PublishID: pimentospread.PublishID(fmt.Sprint(g)), Seed: 7, Set: set}
+}
--- a/member/members.go
+++ b/member/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -46,6 +47,10 @@
 	// pending is a newer roster that waits for the end of RosterHold.
 	pending *Roster
 	peers   map[pimentospread.HostID]*Peer
+	// sorted are the peers by identifier. Every event needs them, and they change seldom.
+	sorted []*Peer
+	// revision counts the changes of the set of peers and of their addresses.
+	revision uint64
 }
 
 // NewMembers returns the members as a host knows them at its start. The seeds
@@ -79,12 +84,23 @@
 	if !known {
 		p = &Peer{Host: h, admitted: now}
 		m.peers[h.ID] = p
+		m.change()
 	}
-	if !m.listed(h.ID) {
+	if !m.listed(h.ID) && p.Host != h {
 		p.Host = h
+		m.change()
 	}
 }
 
+// change notes that the set of peers is another one.
+func (m *Members) change() {
+	m.revision++
+	m.sorted = slices.SortedFunc(maps.Values(m.peers), func(a, b *Peer) int { return cmp.Compare(a.Host.ID, b.Host.ID) })
+}
+
+// Revision counts the changes of the set of peers and of their addresses.
+func (m *Members) Revision() uint64 { return m.revision }
+
 // listed says whether the newest roster has the host.
 func (m *Members) listed(id pimentospread.HostID) bool {
 	r := &m.roster
@@ -131,6 +147,7 @@
 		m.Admit(now, h)
 		m.peers[h.ID].Host = h
 	}
+	m.change()
 }
 
 // Expire adopts a roster that has waited long enough and forgets silent hosts outside the roster.
@@ -141,6 +158,7 @@
 	for id, p := range m.peers {
 		if !m.listed(id) && m.roster.Version != 0 && now.Sub(p.lastSign()) >= forgetAfter {
 			delete(m.peers, id)
+			m.change()
 		}
 	}
 }
@@ -197,15 +215,8 @@
 	return m.roster.Version
 }
 
-// Peers returns all known peers, sorted.
-func (m *Members) Peers() []*Peer {
-	all := make([]*Peer, 0, len(m.peers))
-	for _, p := range m.peers {
-		all = append(all, p)
-	}
-	slices.SortFunc(all, func(a, b *Peer) int { return cmp.Compare(a.Host.ID, b.Host.ID) })
-	return all
-}
+// Peers returns all known peers, sorted. The caller does not change the slice.
+func (m *Members) Peers() []*Peer { return m.sorted }
 
 // Peer returns a known peer.
 func (m *Members) Peer(id pimentospread.HostID) (*Peer, bool) {
@@ -216,8 +227,13 @@
 // Alive returns the peers that are alive, sorted. Leaving hosts and hosts that
 // are not ready are among them.
 func (m *Members) Alive(now time.Time) []*Peer {
-	all := m.Peers()
-	return slices.DeleteFunc(all, func(p *Peer) bool { return !p.Alive(now) })
+	alive := make([]*Peer, 0, len(m.sorted))
+	for _, p := range m.sorted {
+		if p.Alive(now) {
+			alive = append(alive, p)
+		}
+	}
+	return alive
 }
 
 // Addresses returns the peer address of each known peer.
--- /dev/null
+++ b/member/members_test.go
@@ -0,0 +1,103 @@
+package member_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"pimentospread"
+	"pimentospread/member"
+)
+
+func host(n int) member.Host {
+	return member.Host{
+		ID: pimentospread.HostID(fmt.Sprintf("h%02d", n)), FailureDomain: pimentospread.FailureDomain(fmt.Sprintf("d%d", n%2)),
+		PeerAddress: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(n + 1)}), 7000), State: member.Live,
+	}
+}
+
+// TestOfferKeepsTwoRosters guards against a third roster that comes before the
+// claims under the first one have ended.
+func TestOfferKeepsTwoRosters(t *testing.T) {
+	type offer struct {
+		at       time.Duration
+		version  pimentospread.ObjectVersion
+		previous pimentospread.ObjectVersion
+		age      time.Duration
+	}
+	tests := map[string]struct {
+		offers []offer
+		end    time.Duration
+		want   [2]pimentospread.ObjectVersion
+	}{
+		"first":                          {[]offer{{version: 1}}, 0, [2]pimentospread.ObjectVersion{1, 0}},
+		"second":                         {[]offer{{version: 1}, {at: time.Second, version: 2}}, time.Second, [2]pimentospread.ObjectVersion{2, 1}},
+		"third too early":                {[]offer{{version: 1}, {at: time.Second, version: 2}, {at: 2 * time.Second, version: 3}}, 10 * time.Second, [2]pimentospread.ObjectVersion{2, 1}},
+		"third waits":                    {[]offer{{version: 1}, {at: time.Second, version: 2}, {at: 2 * time.Second, version: 3}}, 11 * time.Second, [2]pimentospread.ObjectVersion{3, 2}},
+		"older":                          {[]offer{{version: 2}, {version: 1}}, 0, [2]pimentospread.ObjectVersion{2, 0}},
+		"previous of a peer":             {[]offer{{version: 2}, {at: time.Second, version: 2, previous: 1, age: time.Second}}, time.Second, [2]pimentospread.ObjectVersion{2, 1}},
+		"peer that has adopted both":     {[]offer{{version: 1}, {version: 2}, {at: time.Second, version: 3, previous: 2}}, time.Second, [2]pimentospread.ObjectVersion{3, 2}},
+		"skip after being cut off":       {[]offer{{version: 1}, {at: time.Hour, version: 3, previous: 2, age: time.Second}}, time.Hour, [2]pimentospread.ObjectVersion{3, 2}},
+		"peer's roster is out of a jump": {[]offer{{version: 1}, {version: 2}, {at: time.Second, version: 4, previous: 3}}, 2 * time.Second, [2]pimentospread.ObjectVersion{2, 1}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			start := time.Unix(1_700_000_000, 0)
+			m := member.NewMembers(start, host(0), nil)
+			for _, o := range test.offers {
+				m.Offer(start.Add(o.at), member.Roster{Version: o.version, Hosts: []member.Host{host(0), host(1)}}, member.Roster{Version: o.previous}, o.age)
+			}
+			m.Expire(start.Add(test.end))
+			current, previous, _ := m.Roster()
+			if d := cmp.Diff(test.want, [2]pimentospread.ObjectVersion{current.Version, previous.Version}); d != "" {
+				t.Errorf("rosters (-want +got):\n%s", d)
+			}
+		})
+	}
+}
+
+// TestRelaysPerDomain guards against a failure domain without a relay or with more than two.
+func TestRelaysPerDomain(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	for _, hosts := range []int{1, 2, 4, 9, 16} {
+		relays := map[pimentospread.FailureDomain]int{}
+		for self := range hosts {
+			m := member.NewMembers(now, host(self), nil)
+			for n := range hosts {
+				m.Admit(now, host(n))
+				m.Hear(now, host(n).ID, 1, member.Heartbeat{Sequence: 1})
+			}
+			if m.Relay(now) {
+				relays[host(self).FailureDomain]++
+			}
+		}
+		want := map[pimentospread.FailureDomain]int{"d0": min(2, (hosts+1)/2)}
+		if hosts > 1 {
+			want["d1"] = min(2, hosts/2)
+		}
+		if d := cmp.Diff(want, relays); d != "" {
+			t.Errorf("%d hosts (-want +got):\n%s", hosts, d)
+		}
+	}
+}
+
+// TestHearRefusesOldHeartbeats guards against a heartbeat of an earlier run or
+// order that takes back what a later one said.
+func TestHearRefusesOldHeartbeats(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	m := member.NewMembers(now, host(0), []member.Host{host(1)})
+	type beat struct {
+		incarnation pimentospread.Incarnation
+		sequence    uint64
+	}
+	var got []bool
+	for _, b := range []beat{{5, 3}, {5, 3}, {5, 2}, {4, 9}, {6, 1}} {
+		got = append(got, m.Hear(now, host(1).ID, b.incarnation, member.Heartbeat{Sequence: b.sequence}))
+	}
+	if d := cmp.Diff([]bool{true, false, false, false, true}, got); d != "" {
+		t.Errorf("accepted (-want +got):\n%s", d)
+	}
+}
