Take no new work on hosts that the platform lists as leaving

Cause: the roster may say earlier than the host itself that it leaves. Change: such hosts are not among the hosts that take work. A scenario covers leaving, and the convergence property also drains a target and demands that every host avoids it within 3 s.

--- a/control/cell_test.go
+++ b/control/cell_test.go
@@ -10,8 +10,11 @@
 	"pimentospread/control"
 )
 
-// inForce is the bound of the design page for a release at today's size.
-const inForce = 5 * time.Second
+// Bounds of the design page: a release at today's size, and no new work at a leaving target.
+const (
+	inForce = 5 * time.Second
+	drained = 3 * time.Second
+)
 
 func drainReport() control.TargetProbed {
 	return control.TargetProbed{Heard: true, Report: pimentospread.LoadReport{Healthy: true, Draining: true}}
@@ -90,7 +93,8 @@
 
 // TestCellConverges guards against generations that fall, releases that are
 // active before all live hosts have them, hosts that return with an old
-// release, and views that stay different after the last fault.
+// release, views that stay different after the last fault, and new work at a
+// target that drains.
 func TestCellConverges(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		hosts := rapid.IntRange(4, 9).Draw(t, "hosts")
@@ -109,6 +113,15 @@
 		s.advance(20 * time.Second)
 		s.checkInForce()
 		s.checkAgreement()
+		p := drainReport()
+		p.Target = 3
+		s.probes[3] = p
+		s.advance(drained)
+		for _, h := range s.hosts {
+			if !h.view.Draining[3] || !h.view.Avoided[3] {
+				t.Fatalf("%s: target 3 draining %v, avoided %v %s after it said so", h.self.ID, h.view.Draining[3], h.view.Avoided[3], drained)
+			}
+		}
 	})
 }
 
--- a/control/scenario_test.go
+++ b/control/scenario_test.go
@@ -167,3 +167,29 @@
 		t.Errorf("held %d and active %d after an old release was read, want 2 and 2", c.Held(), c.Active())
 	}
 }
+
+// TestLeaveTakesNoNewWork guards against a host that is chosen for new work,
+// or that stays a relay, while it shuts down.
+func TestLeaveTakesNoNewWork(t *testing.T) {
+	s := newSim(1, 4, 1, t.Fatalf)
+	s.advance(inForce)
+	for _, h := range s.hosts[:2] {
+		h.handle(control.Leave{})
+		if h.cell.Ready() || !h.view.Leaving || h.view.Ready {
+			t.Errorf("%s: ready %v, leaving %v", h.self.ID, h.view.Ready, h.view.Leaving)
+		}
+	}
+	s.advance(time.Second)
+	for _, h := range s.hosts {
+		if len(h.view.Live) != 2 {
+			t.Errorf("%s: live hosts %v, want the two that stay", h.self.ID, h.view.Live)
+		}
+	}
+	s.platform.publish()
+	s.advance(inForce)
+	for _, h := range s.hosts {
+		if !h.view.Active || h.view.Generation() != 2 {
+			t.Errorf("%s: generation %d, active %v, want 2 in force also while hosts leave", h.self.ID, h.view.Generation(), h.view.Active)
+		}
+	}
+}
--- a/member/members.go
+++ b/member/members.go
@@ -253,7 +253,7 @@
 			all = append(all, Candidate{ID: p.Host.ID, FailureDomain: p.Host.FailureDomain})
 		}
 	}
-	if self {
+	if h, ok := m.roster.Find(m.self.ID); self && (!ok || h.State != Leaving) {
 		all = append(all, Candidate{ID: m.self.ID, FailureDomain: m.self.FailureDomain})
 	}
 	slices.SortFunc(all, func(a, b Candidate) int { return cmp.Compare(a.ID, b.ID) })
--- a/member/members_test.go
+++ b/member/members_test.go
@@ -101,3 +101,19 @@
 		t.Errorf("accepted (-want +got):\n%s", d)
 	}
 }
+
+// TestWorkingSkipsLeaving guards against new work for a host that the platform lists as leaving.
+func TestWorkingSkipsLeaving(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	r := member.Roster{Version: 1, Hosts: []member.Host{host(0), host(1), host(2)}}
+	r.Hosts[0].State, r.Hosts[1].State = member.Leaving, member.Leaving
+	m := member.NewMembers(now, host(0), nil)
+	m.Offer(now, r, member.Roster{}, 0)
+	for _, n := range []int{1, 2} {
+		m.Hear(now, host(n).ID, 1, member.Heartbeat{Sequence: 1, Ready: true})
+	}
+	want := []member.Candidate{{ID: host(2).ID, FailureDomain: host(2).FailureDomain}}
+	if d := cmp.Diff(want, m.Working(now, true)); d != "" {
+		t.Errorf("working hosts (-want +got):\n%s", d)
+	}
+}
--- a/member/peer.go
+++ b/member/peer.go
@@ -42,7 +42,8 @@
 	return !p.Heard.IsZero() && now.Sub(p.Heard) < DeadAfter
 }
 
-// takesWork says that the peer is ready and stays.
+// takesWork says that the peer is ready and stays. The platform may know earlier
+// than the peer itself that it leaves.
 func (p *Peer) takesWork(now time.Time) bool {
-	return p.Alive(now) && p.Heartbeat.Ready && !p.Heartbeat.Leaving
+	return p.Alive(now) && p.Heartbeat.Ready && !p.Heartbeat.Leaving && p.Host.State != Leaving
 }
