End the wait of idempotent requests before callers send them again

Cause: a caller sends a request again after 2 s. Another host knows nothing of the first transmission, queues it too or refuses it at once, and the caller takes that refusal for the end. In a flood of certificates at 10 times the capacity 248 of 838 requests ran twice, and finished work was told 'unknown'. Change: a waiting idempotent request must start in the first half of its time, and its caller gets an empty CoAP acknowledgement, after which it sends again only in the middle of its time. Non-idempotent requests need it less, their claims find the owner.

--- a/coap/reply.go
+++ b/coap/reply.go
@@ -17,6 +17,9 @@
 // acknowledgement; further parts are messages of their own. The error of a
 // target is passed on instead of the reason.
 func (e *Encoder) EncodeReply(r request.Reply) ([]byte, error) {
+	if r.Outcome == request.Accepted {
+		return e.EncodeAcknowledgement(r.Origin)
+	}
 	m := message.Message{Type: message.NonConfirmable, Token: r.Origin.Token, Payload: []byte(r.Reason)}
 	if r.Origin.Confirmable && (r.Outcome != request.Answered || r.Part.Number == 0) {
 		m.Type, m.MessageID = message.Acknowledgement, int32(r.Origin.MessageID)
--- a/decide/requests_dispatch.go
+++ b/decide/requests_dispatch.go
@@ -31,12 +31,28 @@
 	q := e.Request
 	refusals := r.deps.Admission.Offer(now, pimentospread.Work{
 		Request: q.ID, Caller: q.ID.Caller, Service: q.Service, Class: q.Class,
-		Arrived: e.Arrived, Deadline: q.Deadline,
+		Arrived: e.Arrived, Deadline: startBefore(now, e),
 	})
 	for _, refusal := range refusals {
 		r.refused(now, refusal, actions)
 	}
 	r.dispatch(now, q.Service, actions)
+	if q.Idempotent && e.Stage == request.Waiting {
+		actions.Replies = append(actions.Replies, e.Acknowledge()...)
+	}
+}
+
+// startBefore returns the time by which a waiting request must have started. A
+// caller may send an idempotent request again to another host, which knows
+// nothing of this one and would run it a second time. Half of the time that is
+// left lets the wait end before the caller of an acknowledged request does so.
+// A retry of what a target refused late may use all the time.
+func startBefore(now time.Time, e *request.Entry) time.Time {
+	half := e.Arrived.Add(e.Request.Deadline.Sub(e.Arrived) / 2)
+	if !e.Request.Idempotent || now.After(half) {
+		return e.Request.Deadline
+	}
+	return half
 }
 
 // refused ends a request that the admission does not run.
--- a/replay/tracker.go
+++ b/replay/tracker.go
@@ -195,6 +195,8 @@
 		}
 	case request.Unknown:
 		c.Unknown += count(first)
+	case request.Accepted:
+		return
 	case request.Malformed:
 	}
 	q.replied = q.replied || !r.Part.More
--- a/request/entry.go
+++ b/request/entry.go
@@ -96,6 +96,21 @@
 	return replies
 }
 
+// Acknowledge returns the replies that tell the callers of confirmable
+// transmissions that the answer follows. Later replies are messages of their own.
+func (e *Entry) Acknowledge() []Reply {
+	var replies []Reply
+	for i := range e.Origins {
+		o := &e.Origins[i]
+		if !o.Confirmable {
+			continue
+		}
+		replies = append(replies, Reply{Origin: *o, Outcome: Accepted})
+		o.Confirmable = false
+	}
+	return replies
+}
+
 // Unsent is the outcome when the host gives up and every attempt, if any, was
 // refused before it started. Only the owner of a non-idempotent request may say
 // that it was not run; an idempotent one may run at another host.
--- a/request/request.go
+++ b/request/request.go
@@ -82,6 +82,8 @@
 	Unknown
 	// Malformed means that the request was refused as wrong.
 	Malformed
+	// Accepted tells the caller that the request waits and the answer follows.
+	Accepted
 )
 
 // Reply is one message to a caller.
