Give recorded answers to the attempts of a replay

Cause: attempts have random identifiers, so a replay with changed limits sent other attempts and found no answer for them (47 of 47 certificates lost theirs). Change: the trace says which request an attempt belongs to, and the replay gives the recorded answer to its own attempt of that request.

--- a/host/recording.go
+++ b/host/recording.go
@@ -66,6 +66,15 @@
 	}
 }
 
+func (r *recording) attempts(ctx context.Context, now time.Time, attempts []request.Attempt) {
+	if r.recorder == nil {
+		return
+	}
+	for _, a := range attempts {
+		r.add(ctx, now, trace.Event{Attempt: &trace.Attempt{ID: a.ID, Request: a.Request}})
+	}
+}
+
 func (r *recording) answer(ctx context.Context, now time.Time, a request.Answer) {
 	if r.recorder != nil {
 		r.add(ctx, now, trace.Event{Answer: &a})
--- a/host/requests.go
+++ b/host/requests.go
@@ -101,6 +101,7 @@
 
 func (r *requester) carryOut(ctx context.Context) {
 	a := &r.actions
+	r.recording.attempts(ctx, r.clock.Now(), a.Attempts)
 	for i := range a.Attempts {
 		_ = r.attempts.Put(ctx, targetMessage{attempt: &a.Attempts[i]}.own())
 	}
--- a/replay/player.go
+++ b/replay/player.go
@@ -11,6 +11,7 @@
 	"pimentospread/engine"
 	"pimentospread/peer"
 	"pimentospread/release"
+	"pimentospread/request"
 	"pimentospread/trace"
 )
 
@@ -26,6 +27,7 @@
 	id       pimentospread.HostID
 	flows    []*decide.Flows
 	requests *engine.Requests
+	answers  answers
 	// configurations are what each decider goes by.
 	configurations []configuration
 	flowOut        decide.FlowActions
@@ -79,7 +81,7 @@
 }
 
 func newPlayer(e trace.Event) *player {
-	h := &player{id: e.Host, configurations: make([]configuration, e.Start.FlowShards+1)}
+	h := &player{id: e.Host, answers: newAnswers(), configurations: make([]configuration, e.Start.FlowShards+1)}
 	for i := range e.Start.FlowShards {
 		h.flows = append(h.flows, decide.NewFlows(decide.FlowsDeps{
 			Shard: i, Shards: e.Start.FlowShards, MaxFlows: e.Start.MaxFlows,
@@ -128,9 +130,13 @@
 	case e.Request != nil:
 		p.outcome.asked(*e.Request)
 		d.Arrive(e.At, *e.Request, &h.out)
+	case e.Attempt != nil:
+		h.answers.recorded(*e.Attempt)
+		return nil
 	case e.Answer != nil:
-		p.outcome.answered(*e.Answer)
-		d.Answer(e.At, *e.Answer, &h.out)
+		if a, ok := h.answers.translate(*e.Answer); ok {
+			p.answer(h, e, a)
+		}
 	case e.Report != nil:
 		l := e.Report.LoadReport
 		l.Target, l.At = e.Report.Target, e.Report.At
@@ -144,11 +150,31 @@
 	default:
 		d.Tick(e.At, &h.out)
 	}
-	p.outcome.requestActions(&h.out)
-	h.out.Clear()
+	p.finish(h, e)
 	return nil
 }
 
+func (p *Player) answer(h *player, e trace.Event, a request.Answer) {
+	p.outcome.answered(a)
+	h.requests.Answer(e.At, a, &h.out)
+}
+
+// finish counts the actions, and gives those attempts their answers that were
+// answered earlier in the recording.
+func (p *Player) finish(h *player, e trace.Event) {
+	for {
+		p.outcome.requestActions(&h.out)
+		late := h.answers.sent(h.out.Attempts)
+		h.out.Clear()
+		if len(late) == 0 {
+			return
+		}
+		for _, a := range late {
+			p.answer(h, e, a)
+		}
+	}
+}
+
 // view makes the view that the decider had, with the tables of its release.
 func (c *configuration) view(self pimentospread.HostID, v *trace.View) *decide.View {
 	if v.Release != nil {
--- a/trace/event.go
+++ b/trace/event.go
@@ -18,7 +18,7 @@
 // from 0, then the requests decider.
 type Decider int
 
-// Event is one input of a decider. Exactly one of the pointers is set.
+// Event is one input of a decider, or an attempt that it made. Exactly one of the pointers is set.
 type Event struct {
 	At      time.Time            `json:"At"`
 	Host    pimentospread.HostID `json:"Host"`
@@ -28,6 +28,7 @@
 	View    *View            `json:"View,omitempty"`
 	Packet  *flow.Packet     `json:"Packet,omitempty"`
 	Request *request.Request `json:"Request,omitempty"`
+	Attempt *Attempt         `json:"Attempt,omitempty"`
 	Answer  *request.Answer  `json:"Answer,omitempty"`
 	Report  *Report          `json:"Report,omitempty"`
 	Peer    *Peer            `json:"Peer,omitempty"`
@@ -43,6 +44,14 @@
 	Seed        uint64                    `json:"Seed"`
 }
 
+// Attempt says which request an attempt belongs to. It is no input of a
+// decider; a replay needs it to give a recorded answer to the right request
+// when it chooses another attempt identifier or target.
+type Attempt struct {
+	ID      pimentospread.AttemptID `json:"ID"`
+	Request pimentospread.RequestID `json:"Request"`
+}
+
 // Report is the load report of a target.
 type Report struct {
 	pimentospread.LoadReport
