--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 LINT := bin/golangci-lint
 
-.PHONY: build test lint bench demo
+.PHONY: build test lint bench capacity demo
 
 build:
 	go build -o bin/ ./cmd/...
@@ -22,5 +22,13 @@
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
 
+# Measures the slopes of docs/CAPACITY.md again, and works its figures out from them.
+capacity:
+	go test -run '^$$' -bench . -benchtime 1x -count 3 -timeout 30m ./capacity > capacity/bench.txt
+	go run ./cmd/capacity record --machine "$(MACHINE)" < capacity/bench.txt > capacity/slopes.new
+	mv capacity/slopes.new capacity/slopes.json
+	rm capacity/bench.txt
+	go run ./cmd/capacity page
+
 demo:
 	scripts/demo.sh
--- /dev/null
+++ b/capacity/cell_test.go
@@ -0,0 +1,174 @@
+package capacity_test
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"pimentospread"
+	"pimentospread/decide"
+	"pimentospread/host"
+	"pimentospread/member"
+	"pimentospread/peer"
+	"pimentospread/policy"
+	"pimentospread/pool"
+	"pimentospread/release"
+	"pimentospread/service"
+)
+
+// began is a fixed time, so that every run measures the same work.
+var began = time.Date(2026, 5, 4, 3, 0, 0, 0, time.UTC)
+
+// domains are the failure domains of a region.
+var domains = []pimentospread.FailureDomain{"lk-west-neg", "lk-west-col", "lk-west-ber"}
+
+// address spreads hosts over a network of 24 bits, because consecutive
+// addresses would make a release compress better than it does.
+func address(host, port int) netip.AddrPort {
+	host = (host + 1) * 0x9e3779 & 0xffffff
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(host >> 16), byte(host >> 8), byte(host)}), uint16(port))
+}
+
+func hostID(i int) pimentospread.HostID { return pimentospread.HostID(fmt.Sprintf("host-%04d", i)) }
+
+func incarnation(i int) pimentospread.Incarnation {
+	return pimentospread.Incarnation(began.Add(-time.Hour).UnixNano() + int64(i))
+}
+
+func hosts(n int) []member.Host {
+	all := make([]member.Host, n)
+	for i := range all {
+		all[i] = member.Host{
+			ID: hostID(i), FailureDomain: domains[i%len(domains)], State: member.Live,
+			PeerAddress: address(i, 7001), DataAddress: address(i, 7002), AdminAddress: address(i, 7003),
+		}
+	}
+	return all
+}
+
+func candidates(n int) []member.Candidate {
+	all := make([]member.Candidate, n)
+	for i, h := range hosts(n) {
+		all[i] = member.Candidate{ID: h.ID, FailureDomain: h.FailureDomain}
+	}
+	return all
+}
+
+// objects returns a set with the targets spread over the pools and the services over both.
+func objects(services, pools, targets int) release.Set {
+	var set release.Set
+	rules := policy.Defaults()
+	rules.Name = "auction"
+	rules.Classes = []policy.Class{
+		{Name: "bid", Urgency: 200, Weight: 5, QueueLength: 1 << 20, MaxWait: pimentospread.Duration{Duration: 9 * time.Second}, Floor: 0.05, Objective: 0.99},
+		{Name: "transfer", Urgency: 150, Weight: 10, QueueLength: 1 << 20, MaxWait: pimentospread.Duration{Duration: 9 * time.Second}, Floor: 0.05, Objective: 0.99},
+	}
+	set.Policies = []policy.Policy{rules}
+	for i := range pools {
+		set.TargetPools = append(set.TargetPools, pool.Pool{Name: pimentospread.PoolName(fmt.Sprintf("pool-%04d", i))})
+	}
+	for i := range targets {
+		p := &set.TargetPools[i%pools]
+		p.Targets = append(p.Targets, pool.Target{
+			Name:        pimentospread.TargetName(fmt.Sprintf("auction-desk-%06x", i*0x5bd1e9&0xffffff)),
+			FlowAddress: address(i, 4789), RequestAddress: address(i, 5683), HealthAddress: address(i, 8080),
+			FailureDomain: domains[i%len(domains)], Slots: 2, Connections: 1 << 30,
+		})
+	}
+	for i := range services {
+		set.Services = append(set.Services, service.Service{
+			Name: pimentospread.ServiceName(fmt.Sprintf("auction-%04d", i)), Addresses: []netip.AddrPort{address(i, 443)},
+			Pool: set.TargetPools[i%pools].Name, Policy: rules.Name,
+		})
+	}
+	return set
+}
+
+// publish returns the release that follows current.
+func publish(current *release.Release, set release.Set) *release.Release {
+	p := release.Publication{ID: "3f0c6f1e-2b1d-4a68-9f43-7a5e1c0d9b11", At: began, Publisher: "operator", Seed: 7}
+	if current != nil {
+		p.At = current.PublishedAt.Add(time.Minute)
+	}
+	next, faults := release.Next(current, set, p)
+	if len(faults) > 0 {
+		panic(faults[0].String())
+	}
+	return &next
+}
+
+// drained publishes releases until the first pool has the given number of
+// epochs: in each, another target drains and the one before it is active again.
+func drained(set release.Set, epochs int) *release.Release {
+	r := publish(nil, set)
+	for i := 1; i < epochs; i++ {
+		next := r.Content()
+		targets := next.TargetPools[0].Targets
+		for j := range targets {
+			targets[j].State = pool.Active
+		}
+		targets[i%len(targets)].State = pool.Draining
+		r = publish(r, next)
+	}
+	return r
+}
+
+// services returns what the deciders get of a release.
+func services(r *release.Release) map[pimentospread.ServiceID]*decide.ServiceView {
+	tables := map[pimentospread.PoolName]*pool.Table{}
+	pools := map[pimentospread.PoolName]pool.Pool{}
+	for _, p := range r.Set.TargetPools {
+		pools[p.Name], tables[p.Name] = p, pool.NewTable(p, r.Seed)
+	}
+	all := map[pimentospread.ServiceID]*decide.ServiceView{}
+	for _, s := range r.Set.Services {
+		rules, _ := r.Set.Policy(s.Policy)
+		all[s.ID] = &decide.ServiceView{Service: s, Pool: pools[s.Pool], Policy: rules, Table: tables[s.Pool]}
+	}
+	return all
+}
+
+// view returns the view of a host in a quiet cell.
+func view(r *release.Release, self, n int) *decide.View {
+	v := &decide.View{
+		Sequence: uint64(r.Generation), Self: hostID(self), Incarnation: incarnation(self), Release: r, Services: services(r),
+		ByAddress: map[netip.AddrPort]pimentospread.ServiceID{}, Active: true, Live: candidates(n), Ready: true,
+		Roster: member.Roster{Version: 5, Hosts: hosts(n)}, RosterHeld: map[pimentospread.HostID]pimentospread.ObjectVersion{},
+	}
+	for _, s := range r.Set.Services {
+		for _, a := range s.Addresses {
+			v.ByAddress[a] = s.ID
+		}
+	}
+	for _, c := range v.Live {
+		v.RosterHeld[c.ID] = 5
+	}
+	return v
+}
+
+// post counts the frames that hosts send to each other.
+type post struct {
+	messages int
+	bytes    pimentospread.Bytes
+	codec    meter
+	registry peer.Registry
+}
+
+func newPost() *post { return &post{registry: host.Messages()} }
+
+// carry returns what the receiver of a message gets.
+func (p *post) carry(from pimentospread.HostID, i pimentospread.Incarnation, m pimentospread.Message) pimentospread.Inbound {
+	p.codec.start()
+	frame, err := peer.Encode(from, i, m)
+	if err != nil {
+		panic(err)
+	}
+	in, _, err := p.registry.Decode(frame[4:])
+	if err != nil {
+		panic(err)
+	}
+	p.codec.stop()
+	p.messages++
+	p.bytes += pimentospread.Bytes(len(frame))
+	return in
+}
--- /dev/null
+++ b/capacity/control_test.go
@@ -0,0 +1,315 @@
+package capacity_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pimentospread"
+	"pimentospread/control"
+	"pimentospread/decide"
+	"pimentospread/member"
+	"pimentospread/release"
+)
+
+// deciders is one flow shard, the requests duty and the report duty.
+const deciders = 3
+
+// controlHost is a control cell with what the duties around it would do.
+type controlHost struct {
+	host     member.Host
+	cell     *control.Cell
+	run      pimentospread.Incarnation
+	watching bool
+	view     *decide.View
+	events   []control.Event
+}
+
+// controlCell is a cell of hosts that deliver their messages without delay.
+type controlCell struct {
+	now     time.Time
+	hosts   []*controlHost
+	content *control.Content
+	// built has the tables of each generation and its base, which are the same at every host.
+	built  map[string]map[pimentospread.ServiceID]*decide.ServiceView
+	down   map[pimentospread.TargetID]bool
+	post   *post
+	work   meter
+	reads  int
+	probes int
+}
+
+func content(r *release.Release) *control.Content {
+	data, err := json.Marshal(r)
+	if err != nil {
+		panic(err)
+	}
+	c, err := control.Pack(data, release.Decode)
+	if err != nil {
+		panic(err)
+	}
+	return c
+}
+
+func newControlCell(r *release.Release, n int) *controlCell {
+	c := &controlCell{
+		now: began, content: content(r), down: map[pimentospread.TargetID]bool{}, post: newPost(),
+		built: map[string]map[pimentospread.ServiceID]*decide.ServiceView{},
+	}
+	for i, h := range hosts(n) {
+		c.hosts = append(c.hosts, &controlHost{host: h})
+		c.start(i)
+	}
+	c.pass(20 * time.Second)
+	for _, h := range c.hosts {
+		if !h.cell.Ready() {
+			panic("host is not ready: " + string(h.host.ID))
+		}
+	}
+	return c
+}
+
+// start begins a new run of a host.
+func (c *controlCell) start(i int) {
+	h := c.hosts[i]
+	h.run = incarnation(i) + pimentospread.Incarnation(c.now.Sub(began))
+	h.watching, h.view, h.events = false, nil, nil
+	h.cell = control.NewCell(c.now, control.Config{Self: h.host, Incarnation: h.run, Deciders: deciders})
+}
+
+func (c *controlCell) roster() member.Roster {
+	r := member.Roster{Version: 5}
+	for _, h := range c.hosts {
+		r.Hosts = append(r.Hosts, h.host)
+	}
+	return r
+}
+
+// handle gives a host an event and carries out its actions.
+func (c *controlCell) handle(h *controlHost, e control.Event) {
+	c.work.start()
+	a := h.cell.Handle(c.now, e)
+	c.work.stop()
+	for _, m := range a.Messages {
+		in := c.post.carry(h.host.ID, h.run, m.Message)
+		i := slices.IndexFunc(c.hosts, func(o *controlHost) bool { return o.host.ID == m.To })
+		if c.hosts[i].cell != nil {
+			c.hosts[i].events = append(c.hosts[i].events, c.received(in))
+		}
+	}
+	if a.Build != nil {
+		h.events = append(h.events, c.build(a.Build))
+	}
+	if a.View != nil {
+		h.view = a.View
+		for d := range deciders {
+			h.events = append(h.events, control.ViewLoaded{Decider: d, Sequence: a.View.Sequence, Prepared: a.View.Generation()})
+		}
+	}
+	if a.ReadPlatform {
+		c.reads += 2
+		h.events = append(h.events, control.ReleaseRead{Content: c.content}, control.RosterRead{Roster: c.roster()}, control.PlatformRead{Answered: true})
+	}
+	if a.Watch != nil {
+		h.watching = a.Watch.On
+	}
+	c.probes += len(a.Probes)
+	for _, t := range a.Probes {
+		h.events = append(h.events, control.TargetProbed{Target: t.ID, Heard: !c.down[t.ID], Report: pimentospread.LoadReport{Healthy: true, At: c.now}})
+	}
+}
+
+func (c *controlCell) received(in pimentospread.Inbound) control.Event {
+	switch m := in.Message.(type) {
+	case *member.Heartbeat:
+		return control.HeartbeatReceived{From: in.From, Incarnation: in.Incarnation, Heartbeat: *m}
+	case *control.ReleaseQuery:
+		return control.QueryReceived{From: in.From, Query: *m}
+	case *control.ReleaseReply:
+		e := control.ReplyReceived{From: in.From, Reply: *m}
+		if len(m.Content) > 0 {
+			e.Content = c.content
+		}
+		return e
+	}
+	panic("unexpected message " + string(in.Message.MessageKind()))
+}
+
+func (c *controlCell) build(b *control.Build) control.Event {
+	key := fmt.Sprintf("%d after %d", b.Content.Release.Generation, b.Base)
+	if c.built[key] == nil {
+		c.built[key] = b.Run().Services
+	}
+	return control.TablesBuilt{Content: b.Content, Base: b.Base, Services: c.built[key]}
+}
+
+// settle lets the hosts handle all events that wait.
+func (c *controlCell) settle() {
+	for busy := true; busy; {
+		busy = false
+		for _, h := range c.hosts {
+			for len(h.events) > 0 && h.cell != nil {
+				e := h.events[0]
+				h.events = h.events[1:]
+				c.handle(h, e)
+				busy = true
+			}
+		}
+	}
+}
+
+// pass lets time go by in ticks that are spread evenly over the hosts.
+func (c *controlCell) pass(d time.Duration) {
+	step := member.HeartbeatInterval / time.Duration(len(c.hosts))
+	for end := c.now.Add(d); c.now.Before(end); {
+		for _, h := range c.hosts {
+			c.now = c.now.Add(step)
+			if h.cell != nil {
+				c.handle(h, control.Tick{})
+			}
+			c.settle()
+		}
+	}
+}
+
+// release lets the relays read a new release, and returns the time until every host sends new flows by it.
+func (c *controlCell) release(r *release.Release) time.Duration {
+	c.content = content(r)
+	published := c.now
+	for _, h := range c.hosts {
+		if h.watching {
+			c.handle(h, control.ReleaseRead{Content: c.content})
+		}
+	}
+	c.settle()
+	behind := func(h *controlHost) bool { return h.cell.Active() < r.Generation }
+	for slices.ContainsFunc(c.hosts, behind) {
+		c.pass(member.HeartbeatInterval)
+	}
+	return c.now.Sub(published)
+}
+
+// traffic passes a minute and reports what the control duty of one host costs in a second.
+func (c *controlCell) traffic(b *testing.B) {
+	const seconds = 60
+	c.post, c.work, c.probes = newPost(), meter{}, 0
+	c.pass(seconds * time.Second)
+	perHost := float64(len(c.hosts) * seconds)
+	b.ReportMetric(float64(c.post.bytes)/perHost, "B/host-s")
+	b.ReportMetric(float64(c.post.messages)/perHost, "messages/host-s")
+	b.ReportMetric(float64(c.post.bytes)/float64(c.post.messages), "B/message")
+	b.ReportMetric(float64(c.work.total.Nanoseconds())/perHost, "cell-cpu-ns/host-s")
+	b.ReportMetric(float64(c.post.codec.total.Nanoseconds())/perHost, "codec-cpu-ns/host-s")
+	b.ReportMetric(float64(c.probes)/perHost, "probes/host-s")
+}
+
+// BenchmarkCellQuiet also gives the memory of a host's control state. The
+// hosts of the benchmark share the release and its tables.
+func BenchmarkCellQuiet(b *testing.B) {
+	r := publish(nil, objects(21, 21, 160))
+	for _, n := range []int{4, 8, 16, 32} {
+		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
+			once(b, func() {
+				var c *controlCell
+				memory(b, "B/host", n, func() any {
+					c = newControlCell(r, n)
+					return c
+				})
+				c.traffic(b)
+				b.ReportMetric(float64(c.reads)/float64(n), "reads/start")
+			})
+		})
+	}
+}
+
+// BenchmarkCellFlagged has 16 hosts and 160 targets, of which some do not answer probes.
+func BenchmarkCellFlagged(b *testing.B) {
+	r := publish(nil, objects(21, 21, 160))
+	for _, n := range []int{0, 10, 53, 140} {
+		b.Run(fmt.Sprintf("down=%d", n), func(b *testing.B) {
+			once(b, func() {
+				c := newControlCell(r, 16)
+				for _, p := range r.Set.TargetPools {
+					for _, t := range p.Targets[1:] {
+						if len(c.down) < n {
+							c.down[t.ID] = true
+						}
+					}
+				}
+				c.pass(20 * time.Second)
+				c.traffic(b)
+			})
+		})
+	}
+}
+
+// BenchmarkCellJoin gives the frames of the cell in the first 20 s of a host's
+// new run beyond those of a quiet cell, and the time until it is ready.
+func BenchmarkCellJoin(b *testing.B) {
+	for _, n := range []int{40, 160, 640} {
+		b.Run(fmt.Sprintf("targets=%d", n), func(b *testing.B) {
+			r := publish(nil, objects(21, 21, n))
+			once(b, func() {
+				c := newControlCell(r, 16)
+				c.post = newPost()
+				c.pass(20 * time.Second)
+				quiet := c.post.bytes
+				c.reads, c.post = 0, newPost()
+				c.start(15)
+				started := c.now
+				for !c.hosts[15].cell.Ready() {
+					c.pass(member.HeartbeatInterval)
+				}
+				b.ReportMetric(float64(c.now.Sub(started).Milliseconds()), "ready-ms")
+				c.pass(20*time.Second - c.now.Sub(started))
+				b.ReportMetric(float64(c.post.bytes)-float64(quiet), "B/join")
+				b.ReportMetric(float64(c.reads), "reads/join")
+			})
+		})
+	}
+}
+
+// BenchmarkCellChange gives the time from the reading of a release by the
+// relays until all hosts send new flows by it, without the time to build
+// tables, and the frames that it adds.
+func BenchmarkCellChange(b *testing.B) {
+	for _, n := range []int{4, 8, 16, 32} {
+		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
+			r := publish(nil, objects(21, 21, 160))
+			next := drained(objects(21, 21, 160), 2)
+			once(b, func() {
+				c := newControlCell(r, n)
+				c.post = newPost()
+				took := c.release(next)
+				replies := float64(c.post.bytes)
+				c.post = newPost()
+				c.pass(took)
+				b.ReportMetric(float64(took.Milliseconds()), "active-ms")
+				b.ReportMetric((replies-float64(c.post.bytes))/float64(n), "B/host")
+			})
+		})
+	}
+}
+
+// BenchmarkPlatformCalls gives the calls a minute of each failure domain of a
+// cell, at two watches for each relay and 30 s for each watch.
+func BenchmarkPlatformCalls(b *testing.B) {
+	r := publish(nil, objects(2, 2, 18))
+	for _, n := range []int{4, 8, 16} {
+		b.Run(fmt.Sprintf("domainhosts=%d", n), func(b *testing.B) {
+			once(b, func() {
+				c := newControlCell(r, n*len(domains))
+				relays := 0
+				for _, h := range c.hosts {
+					if h.watching {
+						relays++
+					}
+				}
+				b.ReportMetric(float64(relays)/float64(len(domains)), "relays/domain")
+				b.ReportMetric(float64(relays*2*2)/float64(len(domains)), "calls/domain-min")
+			})
+		})
+	}
+}
--- /dev/null
+++ b/capacity/flows_test.go
@@ -0,0 +1,279 @@
+package capacity_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pimentospread"
+	"pimentospread/decide"
+	"pimentospread/flow"
+	"pimentospread/pool"
+	"pimentospread/release"
+)
+
+// flowCell is a cell of flow shards, one for each host, that deliver their
+// messages to each other without delay.
+type flowCell struct {
+	now    time.Time
+	hosts  []*decide.Flows
+	post   *post
+	work   meter
+	random *rand.Rand
+}
+
+func newFlowCell(r *release.Release, n int) *flowCell {
+	c := &flowCell{now: began, post: newPost(), random: rand.New(rand.NewPCG(1, 1))}
+	for range n {
+		c.hosts = append(c.hosts, decide.NewFlows(decide.FlowsDeps{Shards: 1, MaxFlows: 1 << 22, MaxHeld: 1 << 20}))
+	}
+	c.configure(r)
+	// A new shard treats every bucket as changed for its first second.
+	c.pass(3 * time.Second)
+	return c
+}
+
+func (c *flowCell) configure(r *release.Release) {
+	shared := view(r, 0, len(c.hosts))
+	for i := range c.hosts {
+		v := *shared
+		v.Self, v.Incarnation = hostID(i), incarnation(i)
+		c.do(i, func(f *decide.Flows, a *decide.FlowActions) { f.Configure(c.now, &v, a) })
+	}
+}
+
+// do lets a host act and delivers what it and the others send for it.
+func (c *flowCell) do(i int, act func(*decide.Flows, *decide.FlowActions)) {
+	var a decide.FlowActions
+	c.work.start()
+	act(c.hosts[i], &a)
+	c.work.stop()
+	for _, m := range a.Peers {
+		var to int
+		if _, err := fmt.Sscanf(string(m.To), "host-%d", &to); err != nil {
+			panic(err)
+		}
+		in := c.post.carry(hostID(i), incarnation(i), m.Message)
+		c.do(to, func(f *decide.Flows, b *decide.FlowActions) { f.Peer(c.now, in, b) })
+	}
+}
+
+// pass lets time go by in the ticks of the shards.
+func (c *flowCell) pass(d time.Duration) {
+	for end := c.now.Add(d); c.now.Before(end); {
+		c.now = c.now.Add(50 * time.Millisecond)
+		for i := range c.hosts {
+			c.do(i, func(f *decide.Flows, a *decide.FlowActions) { f.Tick(c.now, a) })
+		}
+	}
+}
+
+func packet(r *release.Release, id pimentospread.FlowID, syn bool) flow.Packet {
+	s := r.Set.Services[0]
+	return flow.Packet{
+		ID: id, Service: s.ID, SYN: syn,
+		Key: pimentospread.FlowKey{Caller: address(1, 40000), Service: s.Addresses[0]},
+	}
+}
+
+func (c *flowCell) packet(r *release.Release, host int, id pimentospread.FlowID, syn bool) {
+	p := packet(r, id, syn)
+	c.do(host, func(f *decide.Flows, a *decide.FlowActions) { f.Packet(c.now, p, []byte{0}, a) })
+}
+
+func flowIDs(n int) []pimentospread.FlowID {
+	random := rand.New(rand.NewPCG(2, 2))
+	ids := make([]pimentospread.FlowID, n)
+	for i := range ids {
+		ids[i] = pimentospread.FlowID(random.Uint64())
+	}
+	return ids
+}
+
+// holdFlows returns a shard that knows the flows.
+func holdFlows(r *release.Release, ids []pimentospread.FlowID) *decide.Flows {
+	f := newFlowCell(r, 1).hosts[0]
+	var a decide.FlowActions
+	for _, id := range ids {
+		f.Packet(began.Add(3*time.Second), packet(r, id, true), []byte{0}, &a)
+		a.Clear()
+	}
+	return f
+}
+
+var flowSizes = []int{10_000, 100_000, 1_000_000}
+
+func BenchmarkFlowMemory(b *testing.B) {
+	r := publish(nil, objects(1, 1, 14))
+	for _, n := range flowSizes {
+		b.Run(fmt.Sprintf("flows=%d", n), func(b *testing.B) {
+			ids := flowIDs(n)
+			once(b, func() { memory(b, "B/flow", n, func() any { return holdFlows(r, ids) }) })
+		})
+	}
+}
+
+func BenchmarkRecordMemory(b *testing.B) {
+	r := publish(nil, objects(1, 1, 14))
+	target := r.Set.TargetPools[0].Targets[0].ID
+	for _, n := range flowSizes {
+		b.Run(fmt.Sprintf("records=%d", n), func(b *testing.B) {
+			ids := flowIDs(n)
+			once(b, func() {
+				memory(b, "B/record", n, func() any {
+					f := newFlowCell(r, 1).hosts[0]
+					var a decide.FlowActions
+					for _, id := range ids {
+						put := &flow.RecordPut{Records: flow.Records{{Flow: id, Service: r.Set.Services[0].ID, Target: target}}}
+						f.Peer(began.Add(3*time.Second), pimentospread.Inbound{From: hostID(1), Incarnation: 1, Message: put}, &a)
+						a.Clear()
+					}
+					return f
+				})
+			})
+		})
+	}
+}
+
+// BenchmarkFlowDecision gives the processor time of a packet of a known flow and of a new flow without a record.
+func BenchmarkFlowDecision(b *testing.B) {
+	r := publish(nil, objects(1, 1, 14))
+	for _, n := range flowSizes {
+		b.Run(fmt.Sprintf("flows=%d", n), func(b *testing.B) {
+			ids := flowIDs(n + n/4)
+			f := holdFlows(r, ids[:n])
+			var a decide.FlowActions
+			at := began.Add(3 * time.Second)
+			once(b, func() {
+				var known, fresh meter
+				const packets = 1_000_000
+				known.start()
+				for i := range packets {
+					f.Packet(at, packet(r, ids[(i*7919)%n], false), nil, &a)
+					a.Clear()
+				}
+				known.stop()
+				known.report(b, "known-cpu-ns", packets)
+				fresh.start()
+				for _, id := range ids[n:] {
+					f.Packet(at, packet(r, id, true), nil, &a)
+					a.Clear()
+				}
+				fresh.stop()
+				fresh.report(b, "new-cpu-ns", n/4)
+			})
+		})
+	}
+}
+
+// BenchmarkFlowTick gives the processor time of the work of a shard that no packet causes.
+func BenchmarkFlowTick(b *testing.B) {
+	r := publish(nil, objects(1, 1, 14))
+	for _, n := range flowSizes {
+		b.Run(fmt.Sprintf("flows=%d", n), func(b *testing.B) {
+			f := holdFlows(r, flowIDs(n))
+			at := began.Add(3 * time.Second)
+			once(b, func() {
+				measure(b, "cpu-ns/s", func() {
+					var a decide.FlowActions
+					for range 20 {
+						at = at.Add(50 * time.Millisecond)
+						f.Tick(at, &a)
+					}
+				})
+			})
+		})
+	}
+}
+
+// BenchmarkRecordedFlow gives what the whole cell spends on a new flow in a
+// changed bucket that needs a record, and on a packet of it at a host that does not know it.
+func BenchmarkRecordedFlow(b *testing.B) {
+	first := publish(nil, objects(1, 1, 14))
+	set := first.Content()
+	set.TargetPools[0].Targets[0].State = pool.Draining
+	second := publish(first, set)
+	table := services(second)[second.Set.Services[0].ID].Table
+	for _, n := range []int{4, 8, 16} {
+		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
+			once(b, func() {
+				c := newFlowCell(first, n)
+				c.configure(second)
+				c.pass(time.Second)
+				count := 0
+				var put, ask meter
+				for _, id := range flowIDs(280_000) {
+					if x := table.Lookup(id); x.Current == x.Default {
+						continue
+					}
+					count++
+					// The first and the last step of a batch are counted with it.
+					before := c.work.total
+					c.packet(second, count%n, id, true)
+					put.total += c.work.total - before
+					if count%2000 == 0 {
+						before = c.work.total
+						c.pass(200 * time.Millisecond)
+						put.total += c.work.total - before
+					}
+				}
+				put.report(b, "record-cpu-ns", count)
+				asked := 0
+				for _, id := range flowIDs(280_000) {
+					if x := table.Lookup(id); x.Current == x.Default {
+						continue
+					}
+					asked++
+					before := c.work.total
+					c.packet(second, (asked+n/2)%n, id, false)
+					ask.total += c.work.total - before
+					if asked%2000 == 0 {
+						before = c.work.total
+						c.pass(200 * time.Millisecond)
+						ask.total += c.work.total - before
+					}
+				}
+				ask.report(b, "unknown-cpu-ns", asked)
+			})
+		})
+	}
+}
+
+// BenchmarkDrain gives the control traffic of a host while one of 14 targets
+// drains and the fabric keeps all packets of a flow at one host.
+func BenchmarkDrain(b *testing.B) { benchmarkDrain(b, 1) }
+
+// BenchmarkDrainSpray is BenchmarkDrain under a fabric that spreads the packets of a flow over all hosts.
+func BenchmarkDrainSpray(b *testing.B) { benchmarkDrain(b, 16) }
+
+func benchmarkDrain(b *testing.B, spread int) {
+	const n, seconds = 16, 10
+	first := publish(nil, objects(1, 1, 14))
+	set := first.Content()
+	set.TargetPools[0].Targets[0].State = pool.Draining
+	second := publish(first, set)
+	for _, rate := range []int{200, 800, 1700} {
+		b.Run(fmt.Sprintf("newflows=%d", rate), func(b *testing.B) {
+			once(b, func() {
+				c := newFlowCell(first, n)
+				c.configure(second)
+				c.pass(time.Second)
+				c.post, c.work = newPost(), meter{}
+				for step := range seconds * 20 {
+					for range rate*(step+1)/20 - rate*step/20 {
+						id, at := pimentospread.FlowID(c.random.Uint64()), c.random.IntN(n)
+						c.packet(second, at, id, true)
+						for k := range spread {
+							c.packet(second, (at+k)%n, id, false)
+						}
+					}
+					c.pass(50 * time.Millisecond)
+				}
+				b.ReportMetric(float64(c.post.bytes)/n/seconds, "B/host-s")
+				b.ReportMetric(float64(c.post.messages)/n/seconds, "messages/host-s")
+				b.ReportMetric(float64((c.work.total+c.post.codec.total).Nanoseconds())/n/seconds, "cpu-ns/host-s")
+			})
+		})
+	}
+}
--- /dev/null
+++ b/capacity/model.go
@@ -0,0 +1,71 @@
+package capacity
+
+import (
+	"pimentospread"
+)
+
+// Model is everything that the figures of the page are worked out from.
+type Model struct {
+	Size        Size
+	Limits      Limits
+	Design      Design
+	Assumptions Assumptions
+	Cell        Cell
+	slopes      Slopes
+	// missing are the slopes that were asked for and are not measured.
+	missing []pimentospread.Fault
+}
+
+// NewModel returns the model of a size. It fails when a slope is not measured.
+func NewModel(size Size, slopes Slopes) (*Model, error) {
+	m := &Model{Size: size, Limits: StatedLimits(), Design: PresentDesign(), Assumptions: Assumed(), slopes: slopes}
+	m.Cell = size.Cell(m.Design.CellHosts)
+	m.Roles()
+	m.Events()
+	m.Changes()
+	m.Platform()
+	m.Misfits()
+	if len(m.missing) > 0 {
+		return nil, pimentospread.At(pimentospread.ErrInvalid.New("model is not complete: %s", m.missing[0]), "model", "")
+	}
+	return m, nil
+}
+
+// at returns the median of a metric at a size.
+func (m *Model) at(name Benchmark, unit Metric, size float64) float64 {
+	s, ok := m.slopes.find(name, unit)
+	if !ok {
+		m.missing = append(m.missing, pimentospread.Faultf(string(name), "%q is not measured", unit))
+		return 0
+	}
+	return s.At(size)
+}
+
+// perUnit returns how much a metric rises for one more unit of size.
+func (m *Model) perUnit(name Benchmark, unit Metric) float64 {
+	s, ok := m.slopes.find(name, unit)
+	if !ok {
+		m.missing = append(m.missing, pimentospread.Faultf(string(name), "%q is not measured", unit))
+		return 0
+	}
+	return s.PerUnit()
+}
+
+// core turns nanoseconds of processor time in a second into a share of a core.
+func core(nanoseconds float64) pimentospread.Ratio { return pimentospread.Ratio(nanoseconds / 1e9) }
+
+// peers is the number of other hosts of a cell.
+func (m *Model) peers() float64 { return float64(m.Cell.Hosts - 1) }
+
+// records is the number of records that one host holds after a drain that
+// lasted as long as a record lives: nothing deletes a record when its flow ends.
+func (m *Model) records() float64 {
+	written := float64(m.Cell.NewFlows) * float64(m.Design.Drained) * float64(m.Design.Holders)
+	return written * m.Design.RecordLife.Seconds() / float64(m.Cell.Hosts)
+}
+
+// downInDomain is the number of targets of the cell in one failure domain.
+func (m *Model) downInDomain() float64 { return m.Cell.Targets / float64(m.Cell.Domains) }
+
+// poolTargets is the number of targets of a pool when each address has its own.
+func (m *Model) poolTargets() float64 { return m.Cell.Targets / m.Cell.Addresses }
--- /dev/null
+++ b/capacity/page.go
@@ -0,0 +1,147 @@
+package capacity
+
+import (
+	"fmt"
+	"strings"
+
+	"pimentospread"
+)
+
+// Section names a generated part of the page.
+type Section string
+
+// Sections returns the generated parts of the page by their names.
+func (m *Model) Sections() map[Section]string {
+	return map[Section]string{
+		"machine":  "Measured on: " + m.slopes.Machine + ".\n",
+		"cell":     m.cellTable(),
+		"roles":    m.roleTable(),
+		"totals":   m.totalTable(),
+		"events":   findingTable(m.Events()),
+		"changes":  findingTable(m.Changes()),
+		"platform": findingTable(m.Platform()),
+		"misfits":  findingTable(m.Misfits()),
+		"slopes":   m.slopes.table(),
+	}
+}
+
+func beginMark(s Section) string { return "<!-- begin " + string(s) + " -->\n" }
+func endMark(s Section) string   { return "<!-- end " + string(s) + " -->\n" }
+
+// Update returns the page with each generated part replaced. It fails when the
+// page lacks the marks of one.
+func (m *Model) Update(page string) (string, error) {
+	for name, text := range m.Sections() {
+		before, rest, found := strings.Cut(page, beginMark(name))
+		_, after, ended := strings.Cut(rest, endMark(name))
+		if !found || !ended {
+			return "", pimentospread.At(pimentospread.ErrInvalid.New("page has no marks of the section %q", name), "update", "")
+		}
+		page = before + beginMark(name) + "\n" + text + "\n" + endMark(name) + after
+	}
+	return page, nil
+}
+
+// table writes a Markdown table; the first row is the head.
+func table(rows [][]string) string {
+	var b strings.Builder
+	for i, r := range rows {
+		b.WriteString("| " + strings.Join(r, " | ") + " |\n")
+		if i == 0 {
+			b.WriteString(strings.Repeat("| --- ", len(r)) + "|\n")
+		}
+	}
+	return b.String()
+}
+
+func quantity(v float64, u Unit) string {
+	if u == Count || v == 0 && u == "" {
+		return digits(v)
+	}
+	text := digits(v)
+	if strings.HasSuffix(text, " k") || strings.HasSuffix(text, " M") || strings.HasSuffix(text, " G") {
+		return text + string(u)
+	}
+	return text + " " + string(u)
+}
+
+func findingTable(findings []Finding) string {
+	rows := [][]string{{"What", "Value", "Limit", "Verdict", "How"}}
+	for _, f := range findings {
+		limit := ""
+		if f.Limit > 0 {
+			limit = quantity(f.Limit, f.Unit)
+		}
+		rows = append(rows, []string{f.Subject, quantity(f.Value, f.Unit), limit, f.Verdict(), f.How})
+	}
+	return table(rows)
+}
+
+func (m *Model) cellTable() string {
+	s, c := m.Size, m.Cell
+	of := func(total, divisor float64) string { return digits(total) + " / " + digits(divisor) }
+	n := float64(c.Cells)
+	return table([][]string{
+		{"Quantity", "Each cell", "How"},
+		{"Cells", digits(n), of(float64(s.Hosts), float64(c.Hosts)) + ", rounded up"},
+		{"Hosts", digits(float64(c.Hosts)), "section 6 of the design page"},
+		{"Failure domains", digits(float64(c.Domains)), of(float64(s.FailureDomains), float64(s.Regions)) + ": a cell lies in one region"},
+		{"Addresses", digits(c.Addresses), of(float64(s.Addresses), n)},
+		{"Targets", digits(c.Targets), of(float64(s.Targets), n)},
+		{"Open flows", digits(c.Flows), of(s.Flows, n)},
+		{"New flows a second", digits(float64(c.NewFlows)), of(float64(s.NewFlows), n)},
+		{"Average life of a flow, s", digits(c.Flows / float64(c.NewFlows)), "open flows / new flows a second"},
+		{"Changes a day", digits(float64(c.Changes)), of(float64(s.Changes), n)},
+		{"Restarts a day", digits(float64(c.Restarts)), of(float64(s.Restarts), n)},
+		{"Host failures a day", digits(float64(c.Failures)), of(float64(s.HostFailures), n)},
+	})
+}
+
+func (m *Model) roleTable() string {
+	rows := [][]string{{"Role", "When", "State", "Messages/s", "Traffic", "Processor time", "Memory", "Mechanism", "Slopes"}}
+	for _, r := range m.Roles() {
+		rows = append(rows, []string{
+			r.Name, string(r.When), r.State, digits(float64(r.Messages)), quantity(float64(r.Traffic), BytesEach),
+			quantity(percentOfCores*float64(r.Processor), ShareOfCore), quantity(float64(r.Memory), BytesUnit),
+			r.Mechanism, names(r.Slopes),
+		})
+	}
+	return table(rows)
+}
+
+func names(slopes []Benchmark) string {
+	var all []string
+	for _, s := range slopes {
+		all = append(all, string(s))
+	}
+	return strings.Join(all, ", ")
+}
+
+func (m *Model) totalTable() string {
+	var findings []Finding
+	for _, when := range []Condition{Always, Claims, Drain, Spray, DomainDown} {
+		findings = append(findings, m.standing(m.Total(when))...)
+	}
+	return findingTable(findings)
+}
+
+// table lists each slope with the range of its runs.
+func (s Slopes) table() string {
+	rows := [][]string{{"Slope", "Unit", "Size: median (least to most)", "For each more unit of size"}}
+	commands := [][]string{{"Slope", "Command"}}
+	for i, v := range s.Slopes {
+		var points []string
+		for _, p := range v.Points {
+			text := fmt.Sprintf("%s: %s", digits(p.Size), digits(p.Median))
+			if p.Least != p.Most {
+				text += fmt.Sprintf(" (%s to %s)", digits(p.Least), digits(p.Most))
+			}
+			points = append(points, text)
+		}
+		rows = append(rows, []string{string(v.Name), string(v.Unit), v.Axis + " " + strings.Join(points, "; "), digits(v.PerUnit())})
+		if i == 0 || s.Slopes[i-1].Name != v.Name {
+			commands = append(commands, []string{string(v.Name), "`" + v.Command + "`"})
+		}
+	}
+	return table(rows) + "\n" + table(commands)
+}
--- /dev/null
+++ b/capacity/page_test.go
@@ -0,0 +1,135 @@
+package capacity_test
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"pimentospread/capacity"
+)
+
+func measured(t *testing.T) *capacity.Model {
+	t.Helper()
+	data, err := os.ReadFile("slopes.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	slopes, err := capacity.DecodeSlopes(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m, err := capacity.NewModel(capacity.TwoYears(), slopes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return m
+}
+
+// Guards against a page whose figures do not follow from the committed slopes.
+// "go run ./cmd/capacity page" brings it up to date.
+func TestPageIsCurrent(t *testing.T) {
+	page, err := os.ReadFile("../docs/CAPACITY.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	want, err := measured(t).Update(string(page))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(want, string(page)); diff != "" {
+		t.Errorf("docs/CAPACITY.md is not current (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against a benchmark that was renamed or ran fewer times than the page says.
+func TestEachSlopeHasThreeRuns(t *testing.T) {
+	data, err := os.ReadFile("slopes.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	slopes, err := capacity.DecodeSlopes(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, s := range slopes.Slopes {
+		for _, p := range s.Points {
+			if p.Runs < 3 {
+				t.Errorf("%s at %g ran %d times", s.Name, p.Size, p.Runs)
+			}
+		}
+	}
+}
+
+// Guards against figures that are read with the wrong size or unit.
+func TestRecordingReadsBenchmarks(t *testing.T) {
+	output := `goos: linux
+BenchmarkTable/targets=160-10   1   7 B/table   30 cpu-ns/table
+BenchmarkTable/targets=8-10     1   2 B/table   10 cpu-ns/table
+BenchmarkTable/targets=8-10     1   2 B/table   14 cpu-ns/table
+BenchmarkTable/targets=8-10     1   2 B/table   11 cpu-ns/table
+PASS
+`
+	got, err := capacity.Recording{Package: "./capacity", Count: 3}.Read(strings.NewReader(output), "one core")
+	if err != nil {
+		t.Fatal(err)
+	}
+	command := "go test -run '^$' -bench '^BenchmarkTable$' -benchtime 1x -count 3 ./capacity"
+	want := capacity.Slopes{Machine: "one core", Slopes: []capacity.Slope{
+		{Name: "Table", Unit: "B/table", Command: command, Axis: "targets", Points: []capacity.Point{
+			{Size: 8, Least: 2, Median: 2, Most: 2, Runs: 3}, {Size: 160, Least: 7, Median: 7, Most: 7, Runs: 1},
+		}},
+		{Name: "Table", Unit: "cpu-ns/table", Command: command, Axis: "targets", Points: []capacity.Point{
+			{Size: 8, Least: 10, Median: 11, Most: 14, Runs: 3}, {Size: 160, Least: 30, Median: 30, Most: 30, Runs: 1},
+		}},
+	}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("slopes differ (-want +got):\n%s", diff)
+	}
+	if len(got.Check()) == 0 {
+		t.Error("two sizes are accepted as a slope")
+	}
+}
+
+// The size of two years divides into cells of at most 16 hosts.
+func ExampleSize_Cell() {
+	c := capacity.TwoYears().Cell(16)
+	fmt.Printf("%d cells of %d hosts in %d failure domains\n", c.Cells, c.Hosts, c.Domains)
+	fmt.Printf("%.0f addresses, %.0f targets, %.0f flows, %.0f new flows a second\n", c.Addresses, c.Targets, c.Flows, c.NewFlows)
+	// Output:
+	// 813 cells of 16 hosts in 3 failure domains
+	// 21 addresses, 160 targets, 97171 flows, 1722 new flows a second
+}
+
+// The peers of a host follow from the size of the cell, its heartbeats from the slopes.
+func ExampleModel_Roles() {
+	data, err := os.ReadFile("slopes.json")
+	if err != nil {
+		panic(err)
+	}
+	slopes, err := capacity.DecodeSlopes(data)
+	if err != nil {
+		panic(err)
+	}
+	m, err := capacity.NewModel(capacity.TwoYears(), slopes)
+	if err != nil {
+		panic(err)
+	}
+	for _, r := range m.Roles() {
+		if r.When == capacity.Always && r.Name == "Control duty" {
+			fmt.Printf("%s: %.0f messages a second, %s\n", r.Name, r.Messages, r.Mechanism)
+		}
+	}
+	// Output:
+	// Control duty: 30 messages a second, heartbeat to each peer of the cell each 500 ms
+}
+
+// A slope is read on the line between the two sizes around it.
+func ExampleSlope_At() {
+	s := capacity.Slope{Points: []capacity.Point{{Size: 4, Median: 600}, {Size: 8, Median: 1400}, {Size: 16, Median: 3000}}}
+	fmt.Printf("%.0f at 12, %.0f at 20, %.0f for each more\n", s.At(12), s.At(20), s.PerUnit())
+	// Output:
+	// 2200 at 12, 3800 at 20, 200 for each more
+}
--- /dev/null
+++ b/capacity/recording.go
@@ -0,0 +1,96 @@
+package capacity
+
+import (
+	"bufio"
+	"cmp"
+	"fmt"
+	"io"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+
+	"pimentospread"
+)
+
+// Recording reads the output of benchmarks whose sub-benchmarks are named AXIS=SIZE.
+type Recording struct {
+	// Package is the path of the benchmarks in the commands that repeat them.
+	Package string
+	// Count is the number of runs in the commands.
+	Count int
+}
+
+type recordedKey struct {
+	name Benchmark
+	unit Metric
+}
+
+type recorded struct {
+	key    recordedKey
+	axis   string
+	values map[float64][]float64
+}
+
+// Read returns the slopes of the output.
+func (r Recording) Read(output io.Reader, machine string) (Slopes, error) {
+	line := regexp.MustCompile(`^Benchmark(\w+)/(\w+)=([0-9.]+)(?:-\d+)?\s+\d+\s+(.*)$`)
+	all := map[recordedKey]*recorded{}
+	s := bufio.NewScanner(output)
+	for s.Scan() {
+		m := line.FindStringSubmatch(s.Text())
+		if m == nil {
+			continue
+		}
+		size, err := strconv.ParseFloat(m[3], 64)
+		if err != nil {
+			return Slopes{}, invalidLine(s.Text(), err)
+		}
+		fields := strings.Fields(m[4])
+		for i := 0; i+1 < len(fields); i += 2 {
+			value, err := strconv.ParseFloat(fields[i], 64)
+			if err != nil {
+				return Slopes{}, invalidLine(s.Text(), err)
+			}
+			key := recordedKey{Benchmark(m[1]), Metric(fields[i+1])}
+			if all[key] == nil {
+				all[key] = &recorded{key: key, axis: m[2], values: map[float64][]float64{}}
+			}
+			all[key].values[size] = append(all[key].values[size], value)
+		}
+	}
+	if err := s.Err(); err != nil {
+		return Slopes{}, invalidLine("", err)
+	}
+	return r.slopes(all, machine), nil
+}
+
+func invalidLine(line string, err error) error {
+	return pimentospread.At(pimentospread.ErrInvalid.Wrap(err, "line %q is not the result of a benchmark", line), "read", "")
+}
+
+func (r Recording) slopes(all map[recordedKey]*recorded, machine string) Slopes {
+	s := Slopes{Machine: machine}
+	for _, v := range all {
+		s.Slopes = append(s.Slopes, Slope{
+			Name: v.key.name, Unit: v.key.unit, Axis: v.axis, Points: v.points(),
+			Command: fmt.Sprintf("go test -run '^$' -bench '^Benchmark%s$' -benchtime 1x -count %d %s", v.key.name, r.Count, r.Package),
+		})
+	}
+	slices.SortFunc(s.Slopes, func(a, b Slope) int {
+		return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Unit, b.Unit))
+	})
+	return s
+}
+
+func (v *recorded) points() []Point {
+	var points []Point
+	for size, values := range v.values {
+		slices.Sort(values)
+		points = append(points, Point{
+			Size: size, Least: values[0], Median: values[len(values)/2], Most: values[len(values)-1], Runs: len(values),
+		})
+	}
+	slices.SortFunc(points, func(a, b Point) int { return cmp.Compare(a.Size, b.Size) })
+	return points
+}
--- /dev/null
+++ b/capacity/release_test.go
@@ -0,0 +1,92 @@
+package capacity_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"pimentospread/control"
+	"pimentospread/pool"
+	"pimentospread/release"
+)
+
+// benchmarkTable gives the processor time to derive the table of a pool, and its memory.
+func benchmarkTable(b *testing.B, r *release.Release) {
+	p := r.Set.TargetPools[0]
+	once(b, func() {
+		var m meter
+		memory(b, "B/table", 1, func() any {
+			m.start()
+			defer m.stop()
+			return pool.NewTable(p, r.Seed)
+		})
+		m.report(b, "cpu-ns/table", 1)
+	})
+}
+
+func BenchmarkTableTargets(b *testing.B) {
+	for _, n := range []int{8, 40, 160, 640} {
+		b.Run(fmt.Sprintf("targets=%d", n), func(b *testing.B) {
+			benchmarkTable(b, publish(nil, objects(1, 1, n)))
+		})
+	}
+}
+
+// BenchmarkTableEpochs derives the table of 160 targets.
+func BenchmarkTableEpochs(b *testing.B) {
+	for _, n := range []int{1, 4, 16} {
+		b.Run(fmt.Sprintf("epochs=%d", n), func(b *testing.B) {
+			benchmarkTable(b, drained(objects(1, 1, 160), n))
+		})
+	}
+}
+
+// benchmarkRelease gives the size of a release and the processor time of each step with it.
+func benchmarkRelease(b *testing.B, r *release.Release) {
+	once(b, func() {
+		data, err := json.Marshal(r)
+		if err != nil {
+			b.Fatal(err)
+		}
+		content, err := control.Pack(data, release.Decode)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(len(data)), "json-B")
+		b.ReportMetric(float64(len(content.Packed)), "packed-B")
+		measure(b, "pack-cpu-ns", func() { _, _ = control.Pack(data, release.Decode) })
+		if len(data) <= 1<<20 {
+			measure(b, "unpack-cpu-ns", func() { _, _ = control.Unpack(content.Packed, release.Decode) })
+		}
+		measure(b, "decode-cpu-ns", func() { _, _ = release.Decode(data) })
+		measure(b, "check-cpu-ns", func() { r.Set.Check() })
+		measure(b, "next-cpu-ns", func() { publish(r, r.Content()) })
+	})
+}
+
+// BenchmarkReleaseTargets has 21 services and pools.
+func BenchmarkReleaseTargets(b *testing.B) {
+	for _, n := range []int{40, 160, 640, 2560} {
+		b.Run(fmt.Sprintf("targets=%d", n), func(b *testing.B) {
+			benchmarkRelease(b, publish(nil, objects(21, 21, n)))
+		})
+	}
+}
+
+// BenchmarkReleaseServices has 160 targets in one pool for each service up to 160.
+func BenchmarkReleaseServices(b *testing.B) {
+	for _, n := range []int{5, 21, 84, 336} {
+		b.Run(fmt.Sprintf("services=%d", n), func(b *testing.B) {
+			benchmarkRelease(b, publish(nil, objects(n, min(n, 160), 160)))
+		})
+	}
+}
+
+// BenchmarkReleaseEpochs has 160 targets in one pool.
+func BenchmarkReleaseEpochs(b *testing.B) {
+	for _, n := range []int{1, 8, 32, 128} {
+		b.Run(fmt.Sprintf("epochs=%d", n), func(b *testing.B) {
+			benchmarkRelease(b, drained(objects(21, 1, 160), n))
+		})
+	}
+}
--- /dev/null
+++ b/capacity/requests_test.go
@@ -0,0 +1,222 @@
+package capacity_test
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"pimentospread"
+	"pimentospread/burn"
+	"pimentospread/decide"
+	"pimentospread/engine"
+	"pimentospread/request"
+)
+
+// requestCell is a cell of requests engines that deliver their messages to
+// each other without delay, in front of targets that answer at once.
+type requestCell struct {
+	now     time.Time
+	hosts   []*engine.Requests
+	post    *post
+	work    meter
+	replies int
+	// silent targets never answer.
+	silent bool
+}
+
+func newRequestCell(n int) *requestCell {
+	r := publish(nil, objects(2, 2, 160))
+	shared := view(r, 0, n)
+	c := &requestCell{now: began, post: newPost()}
+	for i := range n {
+		v := *shared
+		v.Self, v.Incarnation = hostID(i), incarnation(i)
+		h := engine.NewRequests(engine.RequestsDeps{Self: v.Self, Incarnation: v.Incarnation, Started: began.Add(-time.Hour), Seed: uint64(i)})
+		c.hosts = append(c.hosts, h)
+		c.do(i, func(h *engine.Requests, a *decide.RequestActions) { h.Configure(c.now, &v, a) })
+	}
+	return c
+}
+
+// do lets a host act and carries out what it and the others want for it.
+func (c *requestCell) do(i int, act func(*engine.Requests, *decide.RequestActions)) {
+	var a decide.RequestActions
+	c.work.start()
+	act(c.hosts[i], &a)
+	c.work.stop()
+	c.replies += len(a.Replies)
+	for _, m := range a.Peers {
+		var to int
+		if _, err := fmt.Sscanf(string(m.To), "host-%d", &to); err != nil {
+			panic(err)
+		}
+		in := c.post.carry(hostID(i), incarnation(i), m.Message)
+		c.do(to, func(h *engine.Requests, b *decide.RequestActions) { h.Peer(c.now, in, b) })
+	}
+	for _, t := range a.Attempts {
+		if c.silent {
+			continue
+		}
+		answer := request.Answer{Attempt: t.ID, From: t.Address, Kind: request.Done, Part: request.Part{Payload: []byte("done")}}
+		c.do(i, func(h *engine.Requests, b *decide.RequestActions) { h.Answer(c.now, answer, b) })
+	}
+}
+
+func (c *requestCell) arrive(host, number int, idempotent bool) {
+	class := pimentospread.Class("transfer")
+	q := request.Request{
+		ID:      pimentospread.RequestID{Caller: pimentospread.CallerID(number%1000 + 1), Sequence: uint64(number)},
+		Origin:  request.Origin{Caller: address(number, 40000), Service: address(0, 443), Token: fmt.Appendf(nil, "%08x", number)},
+		Service: 1, Class: class, Deadline: c.now.Add(5 * time.Second), Idempotent: idempotent,
+		Path: "/transfers", Payload: make([]byte, 100),
+	}
+	c.do(host, func(h *engine.Requests, a *decide.RequestActions) { h.Arrive(c.now, q, a) })
+}
+
+// benchmarkRequest gives what the whole cell spends on one request until its reply.
+func benchmarkRequest(b *testing.B, idempotent bool) {
+	for _, n := range []int{4, 8, 16} {
+		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
+			once(b, func() {
+				const count = 20_000
+				c := newRequestCell(n)
+				c.work = meter{}
+				for i := range count {
+					c.arrive(i%n, i, idempotent)
+					if i%1000 == 999 {
+						c.now = c.now.Add(time.Second)
+						for k := range c.hosts {
+							c.do(k, func(h *engine.Requests, a *decide.RequestActions) { h.Tick(c.now, a) })
+						}
+					}
+				}
+				if c.replies != count {
+					b.Fatalf("%d replies to %d requests", c.replies, count)
+				}
+				c.work.report(b, "cpu-ns/request", count)
+				c.post.codec.report(b, "codec-cpu-ns/request", count)
+				b.ReportMetric(float64(c.post.bytes)/count, "B/request")
+				b.ReportMetric(float64(c.post.messages)/count, "messages/request")
+			})
+		})
+	}
+}
+
+func BenchmarkNonIdempotentRequest(b *testing.B) { benchmarkRequest(b, false) }
+
+func BenchmarkIdempotentRequest(b *testing.B) { benchmarkRequest(b, true) }
+
+// BenchmarkHeldRequests gives the memory of a request of 100 bytes that waits
+// in the queue of one engine, and the processor time to take it.
+func BenchmarkHeldRequests(b *testing.B) {
+	for _, n := range []int{1_000, 10_000, 100_000} {
+		b.Run(fmt.Sprintf("requests=%d", n), func(b *testing.B) {
+			once(b, func() {
+				var c *requestCell
+				memory(b, "B/request", n, func() any {
+					c = newRequestCell(1)
+					c.silent, c.work = true, meter{}
+					for i := range n {
+						c.arrive(0, i, true)
+					}
+					return c
+				})
+				if c.replies > 0 {
+					b.Fatalf("%d of %d requests were refused", c.replies, n)
+				}
+				c.work.report(b, "cpu-ns/request", n)
+			})
+		})
+	}
+}
+
+// BenchmarkElector gives the memory of a grant and the processor time of a claim at an elector.
+func BenchmarkElector(b *testing.B) {
+	for _, n := range []int{1_000, 10_000, 100_000} {
+		b.Run(fmt.Sprintf("grants=%d", n), func(b *testing.B) {
+			once(b, func() {
+				var m meter
+				memory(b, "B/grant", n, func() any {
+					v := view(publish(nil, objects(1, 1, 1)), 0, 16)
+					e := request.NewElector(v.Self, began.Add(-time.Hour))
+					e.Configure(began, v.Roster, v.PreviousRoster, v.RosterHeld, 10*time.Second)
+					m.start()
+					for i := range n {
+						id := pimentospread.RequestID{Caller: 7, Sequence: uint64(i)}
+						claim := &request.Claim{Request: id, Round: 1, Rosters: []pimentospread.ObjectVersion{5}, Deadline: began.Add(5 * time.Second)}
+						e.Ask(began, claim, request.Owner{Host: hostID(1), Incarnation: 1})
+					}
+					m.stop()
+					if e.Grants() != n {
+						b.Fatalf("%d grants of %d", e.Grants(), n)
+					}
+					return e
+				})
+				m.report(b, "cpu-ns/claim", n)
+			})
+		})
+	}
+}
+
+func burnReport(r *burn.Recorder, callers int) burn.HostReport {
+	for i := range callers {
+		r.Record(began, 1, "transfer", pimentospread.CallerID(uint64(i+1)*0x9e3779b97f4a7c15), true)
+	}
+	return r.Report(began)
+}
+
+func newRecorder(host int) *burn.Recorder {
+	r := burn.NewRecorder(burn.RecorderDeps{Host: hostID(host)})
+	rules := objects(1, 1, 1).Policies[0]
+	r.Configure(began, []burn.Service{{ID: 1, Name: "auction-desk", Classes: rules.Classes}})
+	return r
+}
+
+// BenchmarkBurnCallers gives the size of the burn report of one host with one service.
+func BenchmarkBurnCallers(b *testing.B) {
+	for _, n := range []int{100, 1_000, 10_000} {
+		b.Run(fmt.Sprintf("callers=%d", n), func(b *testing.B) {
+			once(b, func() {
+				var recorder *burn.Recorder
+				memory(b, "B/service", 1, func() any {
+					recorder = newRecorder(0)
+					burnReport(recorder, n)
+					return recorder
+				})
+				b.ReportMetric(float64(len(encoded(b, burnReport(recorder, n)))), "report-B")
+				measure(b, "cpu-ns/report", func() { encoded(b, recorder.Report(began)) })
+			})
+		})
+	}
+}
+
+// BenchmarkBurnHosts gives the size of the merged report and the processor
+// time to decode and merge reports of 1,000 callers each.
+func BenchmarkBurnHosts(b *testing.B) {
+	for _, n := range []int{4, 8, 16} {
+		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
+			var data [][]byte
+			var asked []pimentospread.HostID
+			for i := range n {
+				data = append(data, encoded(b, burnReport(newRecorder(i), 1000)))
+				asked = append(asked, hostID(i))
+			}
+			merge := func() burn.Report {
+				var reports []burn.HostReport
+				for _, d := range data {
+					reports = append(reports, decoded[burn.HostReport](b, d))
+				}
+				return burn.Merge(asked, reports)
+			}
+			once(b, func() {
+				var out bytes.Buffer
+				if err := merge().WriteJSON(&out); err != nil {
+					b.Fatal(err)
+				}
+				b.ReportMetric(float64(out.Len()), "merged-B")
+				measure(b, "cpu-ns/merge", func() { merge() })
+			})
+		})
+	}
+}
