Have a new run ask its peers which older rosters count

Electors that had restarted knew only the newest roster and granted by it, while the other side of the split still granted by the older one. Change: after its start a host asks every heard peer for the older rosters and grants nothing before each has told it. Named storms guard one rule each.

--- a/decide/requests.go
+++ b/decide/requests.go
@@ -45,7 +45,7 @@
 	runs map[pimentospread.HostID]pimentospread.Incarnation
 	// kept is the size of the finished answers in the ledger.
 	kept pimentospread.Bytes
-	// seen is the time of the last event, and swept that of the last look through the grants.
+	// seen is the time of the last event, and swept that of the last work of each second.
 	seen, swept time.Time
 	// order is reused by dispatchAll.
 	order []pimentospread.ServiceID
@@ -159,6 +159,9 @@
 	r.notice(now)
 	if now.Sub(r.swept) >= time.Second {
 		r.elector.Expire(now)
+		for _, h := range r.elector.Untold() {
+			r.tell(h, &request.RostersQuery{}, actions)
+		}
 		r.swept = now
 	}
 	for {
--- a/decide/requests_cell_test.go
+++ b/decide/requests_cell_test.go
@@ -220,7 +220,7 @@
 		}
 		h.heard[in.From] = c.now
 		h.view.RosterHeld[in.From] = max(h.view.RosterHeld[in.From], b.roster)
-		if b.roster > h.view.Roster.Version {
+		if b.roster > h.view.Roster.Version && !c.storm.Deaf {
 			c.after(time.Duration(c.random.IntN(2000))*time.Millisecond, func() { c.learn(h, b.roster) })
 		}
 	})
--- a/decide/requests_peer.go
+++ b/decide/requests_peer.go
@@ -24,6 +24,12 @@
 		r.tell(in.From, &request.InquiryReply{Request: m.Request, Knowledge: r.inquiry(now, m, actions)}, actions)
 	case *request.InquiryReply:
 		r.inquiryReply(now, by, m, actions)
+	case *request.RostersQuery:
+		if counted := r.elector.Counted(now); len(counted) > 0 {
+			r.tell(in.From, &request.RostersReply{Older: counted[1:]}, actions)
+		}
+	case *request.RostersReply:
+		r.elector.Learn(now, in.From, m.Older)
 	default:
 		actions.Drops = append(actions.Drops, DropUnknownMessage)
 	}
--- a/decide/requests_property_test.go
+++ b/decide/requests_property_test.go
@@ -102,6 +102,48 @@
 	}
 }
 
+// Guards one rule each against situations that random storms rarely meet.
+func TestNamedStormsKeepOutcomes(t *testing.T) {
+	const second = time.Second
+	storms := map[string]storm{
+		"an older roster counts while the other side of a split may grant": {Window: 35 * second, Faults: []fault{
+			{Kind: split, At: 2 * second, For: 33 * second, Hosts: 0b11111, Leaving: 0b111},
+		}},
+		"a side that hears less than half grants nothing": {Window: 35 * second, Faults: []fault{
+			{Kind: split, At: 2 * second, For: 33 * second, Hosts: 0b111, Leaving: 0b111},
+		}},
+		"a host that hears of a newer roster grants nothing": {Window: 35 * second, Deaf: true, Faults: []fault{
+			{Kind: cutBothWays, At: 2 * second, For: 15 * second, Hosts: 0b111},
+			{Kind: list, At: 3 * second, For: 40 * second, Hosts: 0b111, Late: 0b111},
+		}},
+		"a new run that knows no older roster wins nothing": {Window: 35 * second, Faults: []fault{
+			{Kind: split, At: 2 * second, For: 33 * second, Hosts: 0b1111, Leaving: 0b111},
+			{Kind: restart, At: 5 * second, For: second, Hosts: 0b110000},
+			{Kind: restart, At: 15 * second, For: second, Hosts: 0b11000000},
+		}},
+		"paused hosts grant nothing by what they heard before": {Window: 35 * second, Deaf: true, Faults: []fault{
+			{Kind: freeze, At: 2 * second, For: 15 * second, Hosts: 0b111, Leaving: 0b111},
+		}},
+		"a grant to an earlier run does not count for a later one": {Window: 2 * second, Slow: 60, Duplicate: 60, Faults: []fault{
+			{Kind: restart, At: 2 * second, For: second, Hosts: 0b1},
+			{Kind: restart, At: 3 * second, For: second, Hosts: 0b10},
+			{Kind: restart, At: 4 * second, For: second, Hosts: 0b100},
+		}},
+	}
+	for name, s := range storms {
+		t.Run(name, func(t *testing.T) {
+			s.Hosts, s.Domains, s.Requests, s.Copies = 8, 4, 60, 10
+			for s.Seed = range 10 {
+				c := newCell(s, buildDecider)
+				c.weather()
+				if wrong := c.wrongs(); len(wrong) > 0 {
+					t.Errorf("seed %d: %v", s.Seed, wrong)
+				}
+			}
+		})
+	}
+}
+
 // Guards against claims that fail, or cost more messages, without any fault.
 func TestQuietCellServesEverything(t *testing.T) {
 	for _, copies := range []int{1, 4} {
--- a/decide/requests_storm_test.go
+++ b/decide/requests_storm_test.go
@@ -21,6 +21,8 @@
 	Loss, Duplicate, Slow, Shed int
 	// Copies bounds the transmissions of a request; Cancels is the share of those that withdraw it.
 	Copies, Cancels int
+	// Deaf hosts do not fetch a roster that a heartbeat announces.
+	Deaf bool
 	// Window is the time in which the requests begin.
 	Window time.Duration
 	Faults []fault
@@ -35,6 +37,9 @@
 	cutOneWay
 	cutBothWays
 	list
+	// split and freeze cut off or pause hosts while the platform drops some of them from the roster.
+	split
+	freeze
 	faultKinds
 )
 
@@ -49,30 +54,35 @@
 func (f fault) strikes(h *cellHost) bool { return f.Hosts>>h.index&1 == 1 }
 
 func drawStorm(t *rapid.T) storm {
-	tenths := func(label string, most time.Duration) time.Duration {
-		return time.Duration(rapid.Int64Range(0, int64(most/(100*time.Millisecond))).Draw(t, label)) * 100 * time.Millisecond
+	// Sampling draws all values equally; ranges would favour small sets of hosts and short faults.
+	below := func(label string, n int) int {
+		values := make([]int, n)
+		for i := range values {
+			values[i] = i
+		}
+		return rapid.SampledFrom(values).Draw(t, label)
 	}
 	percent := func(label string, choices ...int) int { return rapid.SampledFrom(choices).Draw(t, label) }
 	s := storm{
 		Seed:      rapid.Uint64().Draw(t, "seed"),
-		Hosts:     rapid.IntRange(4, 8).Draw(t, "hosts"),
-		Domains:   rapid.IntRange(1, 4).Draw(t, "domains"),
-		Requests:  rapid.IntRange(10, 60).Draw(t, "requests"),
+		Hosts:     4 + below("hosts", 5),
+		Domains:   1 + below("domains", 4),
+		Requests:  10 + below("requests", 51),
 		Loss:      percent("loss", 0, 2, 20),
 		Duplicate: percent("duplicate", 0, 20, 60),
-		Slow:      percent("slow", 0, 2, 20),
+		Slow:      percent("slow", 0, 2, 20, 60),
+		Deaf:      rapid.Bool().Draw(t, "deaf"),
 		Shed:      percent("shed", 0, 30, 90),
-		Copies:    rapid.IntRange(2, 10).Draw(t, "copies"),
+		Copies:    2 + below("copies", 9),
 		Cancels:   percent("cancels", 0, 3),
 		Window:    rapid.SampledFrom([]time.Duration{2 * time.Second, 10 * time.Second, 35 * time.Second}).Draw(t, "window"),
 	}
-	bits := rapid.IntRange(0, 1<<s.Hosts-1)
-	for range rapid.IntRange(0, 10).Draw(t, "faults") {
-		s.Faults = append(s.Faults, fault{
-			Kind: faultKind(rapid.IntRange(0, int(faultKinds)-1).Draw(t, "kind")),
-			At:   tenths("at", s.Window+cellLifetime), For: tenths("for", 30*time.Second),
-			Hosts: bits.Draw(t, "hosts"), Late: bits.Draw(t, "late"), Leaving: bits.Draw(t, "leaving") & bits.Draw(t, "leaving"),
-		})
+	for range below("faults", 8) {
+		f := fault{Kind: faultKind(below("kind", int(faultKinds)))}
+		f.At = time.Duration(below("at", int((s.Window+cellLifetime)/time.Second))) * time.Second
+		f.For = time.Duration(below("for", 35)) * time.Second
+		f.Hosts, f.Late, f.Leaving = below("struck", 1<<s.Hosts), below("late", 1<<s.Hosts), below("leaving", 1<<s.Hosts)
+		s.Faults = append(s.Faults, f)
 	}
 	return s
 }
@@ -107,9 +117,13 @@
 }
 
 func (c *cell) strike(f fault) {
-	if f.Kind == list {
+	switch f.Kind {
+	case list:
 		c.list(f)
 		return
+	case split, freeze:
+		c.list(fault{Hosts: f.Hosts & f.Leaving, Late: f.Hosts, For: f.For})
+		f.Kind = map[faultKind]faultKind{split: cutBothWays, freeze: pause}[f.Kind]
 	}
 	for _, h := range c.hosts {
 		for _, p := range c.hosts {
--- a/request/elector.go
+++ b/request/elector.go
@@ -20,6 +20,9 @@
 	rosters  *Rosters
 	held     Held
 	grants   map[pimentospread.RequestID]grant
+	// told are the peers that have told which older rosters count, until settled.
+	told    map[pimentospread.HostID]bool
+	settled bool
 }
 
 // grant is what an elector remembers. A released grant stays to refuse a late
@@ -33,7 +36,10 @@
 
 // NewElector returns the elector of a host that started at the given time.
 func NewElector(self pimentospread.HostID, started time.Time) *Elector {
-	return &Elector{started: started, rosters: NewRosters(self), grants: map[pimentospread.RequestID]grant{}}
+	return &Elector{
+		started: started, rosters: NewRosters(self),
+		grants: map[pimentospread.RequestID]grant{}, told: map[pimentospread.HostID]bool{},
+	}
 }
 
 // Configure takes the rosters and what the peers announce. Lifetime is the
@@ -52,6 +58,31 @@
 // Counted returns the rosters whose electors a claim needs, newest first.
 func (e *Elector) Counted(now time.Time) []member.Roster { return e.rosters.Counted(now, e.lifetime) }
 
+// Untold returns the heard peers that this host has to ask for older rosters.
+// A host that started without knowing of an older roster would grant requests
+// that the electors of the older one grant as well.
+func (e *Elector) Untold() []pimentospread.HostID {
+	if e.settled {
+		return nil
+	}
+	var untold []pimentospread.HostID
+	for h := range e.held {
+		if h != e.rosters.self && !e.told[h] {
+			untold = append(untold, h)
+		}
+	}
+	slices.Sort(untold)
+	return untold
+}
+
+// Learn takes the older rosters that a peer counts.
+func (e *Elector) Learn(now time.Time, from pimentospread.HostID, older []member.Roster) {
+	for _, o := range older {
+		e.rosters.Take(now, member.Roster{}, o)
+	}
+	e.told[from] = true
+}
+
 // Ask decides a claim. The holder is the claimant that has the grant, if any.
 func (e *Elector) Ask(now time.Time, c *Claim, by Owner) (Verdict, Owner) {
 	g, known := e.grants[c.Request]
@@ -83,9 +114,10 @@
 	if now.Sub(e.started) < e.lifetime || now.Sub(e.resumed) < regained {
 		return NotGranting
 	}
-	if !e.rosters.MayGrant(now, e.lifetime, e.held) {
+	if !e.rosters.MayGrant(now, e.lifetime, e.held) || len(e.Untold()) > 0 {
 		return NotGranting
 	}
+	e.settled = true
 	counted := e.Counted(now)
 	if c.Rosters[0] != counted[0].Version || !slices.Contains(c.Rosters, counted[len(counted)-1].Version) {
 		return OtherRoster
--- a/request/message.go
+++ b/request/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"pimentospread"
+	"pimentospread/member"
 )
 
 // Kinds of the messages between the hosts that handle one request.
@@ -13,6 +14,8 @@
 	KindClaimRelease pimentospread.MessageKind = "ClaimRelease"
 	KindInquiry      pimentospread.MessageKind = "Inquiry"
 	KindInquiryReply pimentospread.MessageKind = "InquiryReply"
+	KindRostersQuery pimentospread.MessageKind = "RostersQuery"
+	KindRostersReply pimentospread.MessageKind = "RostersReply"
 )
 
 // maxTokenLength is the longest CoAP token (RFC 7252, section 3).
@@ -97,6 +100,15 @@
 	Knowledge Knowledge               `msgpack:"Knowledge"`
 }
 
+// RostersQuery asks a peer for the older rosters that it counts. A host asks
+// after its start, because it may have forgotten them.
+type RostersQuery struct{}
+
+// RostersReply answers a query with the older rosters that count.
+type RostersReply struct {
+	Older []member.Roster `msgpack:"Older"`
+}
+
 // NewMessage returns an empty message of the kind to decode into. It reports
 // false for a kind that does not belong to this package.
 func NewMessage(kind pimentospread.MessageKind) (pimentospread.Message, bool) {
@@ -111,6 +123,10 @@
 		return &Inquiry{}, true
 	case KindInquiryReply:
 		return &InquiryReply{}, true
+	case KindRostersQuery:
+		return &RostersQuery{}, true
+	case KindRostersReply:
+		return &RostersReply{}, true
 	}
 	return nil, false
 }
@@ -130,6 +146,25 @@
 // MessageKind returns KindInquiryReply.
 func (*InquiryReply) MessageKind() pimentospread.MessageKind { return KindInquiryReply }
 
+// MessageKind returns KindRostersQuery.
+func (*RostersQuery) MessageKind() pimentospread.MessageKind { return KindRostersQuery }
+
+// MessageKind returns KindRostersReply.
+func (*RostersReply) MessageKind() pimentospread.MessageKind { return KindRostersReply }
+
+// Validate accepts every query.
+func (*RostersQuery) Validate() error { return nil }
+
+// Validate returns an error when a roster has no version or no hosts.
+func (r *RostersReply) Validate() error {
+	for i, o := range r.Older {
+		if o.Version == 0 || len(o.Hosts) == 0 {
+			return invalid("older roster %d has version %d and %d hosts", i, o.Version, len(o.Hosts))
+		}
+	}
+	return nil
+}
+
 // Validate returns an error when the claim names no round, roster or deadline.
 func (c *Claim) Validate() error {
 	switch {
--- a/request/message_test.go
+++ b/request/message_test.go
@@ -10,6 +10,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"pimentospread"
+	"pimentospread/member"
 	"pimentospread/request"
 )
 
@@ -24,6 +25,8 @@
 		&request.ClaimRelease{Request: id, Round: 2},
 		&request.Inquiry{Request: id, Origin: request.Origin{Caller: caller, Service: caller, Token: []byte{1}, MessageID: 3, Confirmable: true}},
 		&request.InquiryReply{Request: id, Knowledge: request.Owned},
+		&request.RostersQuery{},
+		&request.RostersReply{Older: []member.Roster{{Version: 4, Hosts: []member.Host{{ID: "neg-1", PeerAddress: caller, DataAddress: caller, AdminAddress: caller}}}}},
 	}
 	for _, m := range messages {
 		data, err := msgpack.Marshal(m)
@@ -34,7 +37,6 @@
 		if !known {
 			t.Fatalf("no constructor for %s", m.MessageKind())
 		}
-		empty, _ := request.NewMessage(m.MessageKind())
 		if err := msgpack.Unmarshal(data, got); err != nil {
 			t.Fatal(err)
 		}
@@ -46,9 +48,26 @@
 		if err := v.Validate(); err != nil {
 			t.Errorf("%s is refused: %v", m.MessageKind(), err)
 		}
-		e, _ := empty.(interface{ Validate() error })
-		if err := e.Validate(); err == nil && m.MessageKind() != request.KindInquiryReply {
-			t.Errorf("empty %s is accepted", m.MessageKind())
+	}
+}
+
+// Guards against messages on which a decision would rest on a missing value.
+func TestIncompleteMessagesAreRefused(t *testing.T) {
+	deadline := time.UnixMilli(1_800_000_000_000)
+	messages := map[string]interface{ Validate() error }{
+		"claim without round":            &request.Claim{Rosters: []pimentospread.ObjectVersion{1}, Deadline: deadline},
+		"claim without roster":           &request.Claim{Round: 1, Deadline: deadline},
+		"claim with rising rosters":      &request.Claim{Round: 1, Rosters: []pimentospread.ObjectVersion{1, 2}, Deadline: deadline},
+		"grant without holder":           &request.ClaimReply{Round: 1},
+		"unknown verdict":                &request.ClaimReply{Round: 1, Verdict: 9},
+		"release without round":          &request.ClaimRelease{},
+		"inquiry without origin":         &request.Inquiry{},
+		"unknown knowledge":              &request.InquiryReply{Knowledge: 9},
+		"older roster without a version": &request.RostersReply{Older: make([]member.Roster, 1)},
+	}
+	for name, m := range messages {
+		if m.Validate() == nil {
+			t.Errorf("%s is accepted", name)
 		}
 	}
 }
