--- a/host/build.go
+++ b/host/build.go
@@ -95,7 +95,7 @@
 	for range h.settings.FlowShards {
 		r.flows = append(r.flows, ring.New[pimentospread.Inbound](capacity, ring.Refuse))
 	}
-	for _, kind := range claimKinds {
+	for _, kind := range request.Kinds() {
 		r.claims[kind] = true
 	}
 	return r
