--- a/decide/drop.go
+++ b/decide/drop.go
@@ -17,6 +17,8 @@
 	DropTargetFull DropCause = "target_full"
 	// DropNotActivated means that the target drains and not every live peer knows of it yet.
 	DropNotActivated DropCause = "not_activated"
+	// DropPaused means that the host was paused and may have missed a change of where new flows go.
+	DropPaused DropCause = "paused"
 	// DropNoRecord means that no holder kept the record of a new flow in time.
 	DropNoRecord DropCause = "no_record"
 	// DropNoAnswer means that a holder did not say in time whether it knows the flow.
--- a/decide/flows.go
+++ b/decide/flows.go
@@ -11,8 +11,12 @@
 const (
 	// secondsAtStart leaves room for records that are older than the shard.
 	secondsAtStart = 1 << 20
-	// pauseAfter without a tick means that the host may have missed what its peers did.
-	pauseAfter = 2 * time.Second
+	// pauseAfter without a tick means that the host may have missed what its
+	// peers did. They take it for dead 2 s after its last heartbeat, which may
+	// have been 500 ms before the pause.
+	pauseAfter = time.Second
+	// cautionAfterPause is the time in which every live peer is heard again.
+	cautionAfterPause = 2 * time.Second
 	// cautionAfterStart is the time in which a new host hears of suspended targets.
 	cautionAfterStart = time.Second
 	defaultMaxFlows   = 1 << 20
@@ -66,8 +70,10 @@
 	start     time.Time
 	ticked    time.Time
 	// cautiousUntil is the time until which every bucket counts as changed.
-	cautiousUntil time.Time
-	leaving       bool
+	// pausedUntil is the same after a pause, when the host takes no new flow: the
+	// peers may have activated a release without it.
+	cautiousUntil, pausedUntil time.Time
+	leaving                    bool
 	// spill stands in for an entry of a full flow table.
 	spill flow.Entry
 }
@@ -145,7 +151,7 @@
 }
 
 // Tick does what is due. The duty calls it every few milliseconds; a gap of
-// two seconds counts as a pause of the host.
+// one second counts as a pause of the host.
 func (f *Flows) Tick(now time.Time, a *FlowActions) {
 	if f.view == nil {
 		return
@@ -198,7 +204,8 @@
 func (f *Flows) noticePause(now time.Time) {
 	if now.Sub(f.ticked) > pauseAfter {
 		f.ticked = now
-		f.cautiousUntil = now.Add(pauseAfter)
+		f.cautiousUntil = now.Add(cautionAfterPause)
+		f.pausedUntil = f.cautiousUntil
 	}
 }
 
--- a/decide/holders.go
+++ b/decide/holders.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"pimentospread"
+	"pimentospread/flow"
 	"pimentospread/member"
 )
 
@@ -58,6 +59,11 @@
 	return h
 }
 
+// tagOf returns the short hash of a host's identifier, never zero.
+func tagOf(id pimentospread.HostID) flow.HostTag {
+	return flow.HostTag(1 + xxhash.Sum64String(string(id))%255)
+}
+
 func (h *holders) has(id pimentospread.HostID) bool {
 	for i := range h.hosts {
 		if h.hosts[i].id == id {
--- a/decide/pending.go
+++ b/decide/pending.go
@@ -31,6 +31,8 @@
 	host   pimentospread.HostID
 	state  answerState
 	target pimentospread.TargetID
+	// primary is the first holder by the host that wrote the record.
+	primary flow.HostTag
 }
 
 type answerState uint8
@@ -83,10 +85,11 @@
 	}
 	f.stats.Puts++
 	h.target = target
-	r := flow.Record{Flow: p.ID, Service: p.Service, Target: target}
+	r := flow.Record{Flow: p.ID, Service: p.Service, Target: target, Primary: h.primary()}
 	for i := range h.answers {
 		if x := &h.answers[i]; x.host == f.view.Self {
-			x.state, x.target = answerGiven, f.keep(now, r, keepNew)
+			kept := f.keep(now, r, keepNew)
+			x.state, x.target, x.primary = answerGiven, kept.Target, kept.Primary
 		} else {
 			f.mail.box(x.host).put(r, kindPut)
 		}
@@ -162,11 +165,19 @@
 	if _, ok := s.Table.Target(target); !ok {
 		target = f.replacement(s, id, h)
 	}
-	f.agree(id, h, target)
+	f.agree(now, id, h, target)
 	f.release(now, s, flow.Entry{ID: id, Service: h.service, Target: target, Marks: marks, Round: f.walk.round}, h, a)
 	return true
 }
 
+// primary is the tag of the holder that this host ranks first.
+func (h *heldFlow) primary() flow.HostTag {
+	if len(h.answers) == 0 {
+		return 0
+	}
+	return tagOf(h.answers[0].host)
+}
+
 // replacement is the target of a flow without a record or whose recorded target was removed.
 func (f *Flows) replacement(s *ServiceView, id pimentospread.FlowID, h *heldFlow) pimentospread.TargetID {
 	if h.target != 0 {
@@ -175,19 +186,29 @@
 	return s.Table.Lookup(id).Default
 }
 
-// recorded tells which target a new flow got: that of the first ranked holder which answered.
+// recorded tells which target a new flow got: that of the first ranked holder
+// which answered, unless a later one has another target from a host that ranks
+// another holder first. Of two hosts that record the same flow, whatever live
+// hosts each of them knows, the one that is first at a common holder so wins.
 func (h *heldFlow) recorded() (pimentospread.TargetID, DropCause, bool) {
 	for _, x := range h.answers {
 		if x.state == answerWaiting {
 			return 0, "", false
 		}
 	}
+	var target pimentospread.TargetID
 	for _, x := range h.answers {
-		if x.state == answerGiven {
-			return x.target, "", true
+		if x.state != answerGiven {
+			continue
 		}
+		if target == 0 || target == h.target && x.target != target && x.primary != h.primary() {
+			target = x.target
+		}
+	}
+	if target == 0 {
+		return 0, DropNoRecord, true
 	}
-	return 0, DropNoRecord, true
+	return target, "", true
 }
 
 // found tells which target a flow has: that of any record, or none when every
@@ -212,7 +233,7 @@
 
 // agree corrects the holders that kept another target for a new flow, which
 // happens when two hosts with different views took the same SYN.
-func (f *Flows) agree(id pimentospread.FlowID, h *heldFlow, target pimentospread.TargetID) {
+func (f *Flows) agree(now time.Time, id pimentospread.FlowID, h *heldFlow, target pimentospread.TargetID) {
 	if h.target == 0 {
 		return
 	}
@@ -220,9 +241,9 @@
 		if x.state != answerGiven || x.target == target {
 			continue
 		}
-		r := flow.Record{Flow: id, Service: h.service, Target: target}
+		r := flow.Record{Flow: id, Service: h.service, Target: target, Primary: h.primary()}
 		if x.host == f.view.Self {
-			f.records.Put(flow.Entry{ID: id, Service: h.service, Target: target, Seen: f.seconds(f.ticked)})
+			f.keep(now, r, keepForced)
 		} else {
 			f.mail.box(x.host).put(r, kindForce)
 		}
--- a/decide/records.go
+++ b/decide/records.go
@@ -24,23 +24,24 @@
 	keepForced
 )
 
-// keep adds a record for the cell and returns the target that is kept.
-func (f *Flows) keep(now time.Time, r flow.Record, mode keepMode) pimentospread.TargetID {
+// keep adds a record for the cell and returns the record that is kept.
+func (f *Flows) keep(now time.Time, r flow.Record, mode keepMode) flow.Record {
 	seen := f.seconds(now) - 60*uint32(r.Age)
 	if old := f.records.Get(r.Flow); old != nil && mode != keepForced && old.Service == r.Service && !f.over(now, old, mode) {
 		if old.Target == r.Target {
 			old.Seen = max(old.Seen, seen)
 		}
-		return old.Target
+		return flow.Record{Flow: r.Flow, Service: r.Service, Target: old.Target, Primary: old.Primary}
 	}
 	if mode == keepNew {
 		if e := f.flows.Get(r.Flow); e != nil && e.Service == r.Service && e.Has(flow.Confirmed) && !e.Closed() &&
 			f.seconds(now)-e.Seen <= contestWithin && !f.over(now, e, mode) {
-			r.Target = e.Target
+			// A flow that this host has seen at work outweighs any record.
+			r.Target, r.Primary = e.Target, 0
 		}
 	}
-	f.records.Put(flow.Entry{ID: r.Flow, Service: r.Service, Target: r.Target, Seen: seen, Round: f.walk.repairRound})
-	return r.Target
+	f.records.Put(flow.Entry{ID: r.Flow, Service: r.Service, Target: r.Target, Seen: seen, Round: f.walk.repairRound, Primary: r.Primary})
+	return r
 }
 
 // over reports whether the flow of a record has ended.
@@ -88,9 +89,9 @@
 func (f *Flows) keepAll(now time.Time, from pimentospread.HostID, n flow.Batch, records flow.Records, mode keepMode, a *FlowActions) {
 	reply := &flow.RecordPutReply{Batch: n, Count: uint32(len(records))}
 	for _, r := range records {
-		if kept := f.keep(now, r, mode); kept != r.Target {
-			r.Target, r.Age = kept, 0
-			reply.Conflicts = append(reply.Conflicts, r)
+		if kept := f.keep(now, r, mode); kept.Target != r.Target {
+			kept.Age = 0
+			reply.Conflicts = append(reply.Conflicts, kept)
 		}
 	}
 	if n != 0 && len(records) > 0 {
@@ -108,7 +109,7 @@
 	}
 	for _, r := range m.Conflicts {
 		b.told[r.Flow] = true
-		f.answered(now, r.Flow, holderAnswer{host: from, state: answerGiven, target: r.Target}, a)
+		f.answered(now, r.Flow, holderAnswer{host: from, state: answerGiven, target: r.Target, primary: r.Primary}, a)
 	}
 	if !complete {
 		return
--- a/decide/steer.go
+++ b/decide/steer.go
@@ -154,6 +154,10 @@
 }
 
 func (f *Flows) newFlow(now time.Time, s *ServiceView, c pool.Choice, p flow.Packet, raw []byte, a *FlowActions) {
+	if now.Before(f.pausedUntil) {
+		f.drop(DropPaused, a)
+		return
+	}
 	target, cause := f.place(s, c, p)
 	if target == 0 {
 		f.drop(cause, a)
--- a/decide/walk.go
+++ b/decide/walk.go
@@ -13,8 +13,11 @@
 	handoverRate = 32000
 	// recordCost is what a record and its share of the envelope take on the wire.
 	recordCost = 14
-	// scanPerTick bounds the positions of a table that one tick looks at.
-	scanPerTick = 1024
+	// maxLap is the time in which the walk sees each position of a table once. A
+	// look takes some 100 ns, so a table of 300,000 takes 0.3% of a core.
+	maxLap = 10 * time.Second
+	// leaveLap is the same for a leaving host.
+	leaveLap = 2 * time.Second
 	// recentFor is the age in seconds of flows whose SYN may still be repeated.
 	recentFor = 2
 	// closedFor is the time in seconds for which a closed flow is kept, so that its last packets pass.
@@ -33,7 +36,8 @@
 	round, repairRound uint8
 	roundAt, toldAt    time.Time
 	filledAt           time.Time
-	budget             float64
+	// budget is in bytes; the quotas are in positions of a table.
+	budget, flowsQuota, recordsQuota float64
 	// idle is the longest idle timeout of any service, in seconds.
 	idle           uint32
 	flows, records int
@@ -66,21 +70,29 @@
 	if now.Sub(w.toldAt) > suspendedInterval {
 		f.tellSuspended(now, a)
 	}
-	w.fill(now, f.leaving)
-	for n := 0; n < scanPerTick && w.budget > 0; n++ {
+	f.fill(now)
+	for ; w.flowsQuota >= 1 && w.budget > 0; w.flowsQuota-- {
 		f.walkFlows(now)
+	}
+	for ; w.recordsQuota >= 1 && w.budget > 0; w.recordsQuota-- {
 		f.walkRecords(now)
 	}
 	w.handedOver = f.leaving && !w.flowsLeft && !w.recordsLeft
 }
 
-func (w *walk) fill(now time.Time, leaving bool) {
-	rate := float64(announceRate)
-	if leaving {
-		rate = handoverRate
+// fill adds to the budgets what the time since the last tick allows.
+func (f *Flows) fill(now time.Time) {
+	w := &f.walk
+	rate, lap := float64(announceRate), min(maxLap, time.Duration(w.idle)*time.Second/roundsPerIdle)
+	if f.leaving {
+		rate, lap = handoverRate, leaveLap
 	}
-	w.budget = min(rate, w.budget+rate*now.Sub(w.filledAt).Seconds())
+	past := min(now.Sub(w.filledAt), time.Second)
 	w.filledAt = now
+	w.budget = min(rate, w.budget+rate*past.Seconds())
+	laps := past.Seconds() / lap.Seconds()
+	w.flowsQuota = min(float64(f.flows.Slots()), w.flowsQuota+float64(f.flows.Slots())*laps)
+	w.recordsQuota = min(float64(f.records.Slots()), w.recordsQuota+float64(f.records.Slots())*laps)
 }
 
 func (f *Flows) walkFlows(now time.Time) {
--- a/flow/message_test.go
+++ b/flow/message_test.go
@@ -22,6 +22,7 @@
 				Service: pimentospread.ServiceID(rapid.Uint32Range(0, 1<<24-1).Draw(t, "service")),
 				Target:  pimentospread.TargetID(rapid.Uint32Min(1).Draw(t, "target")),
 				Age:     flow.Minutes(rapid.Uint8().Draw(t, "age")),
+				Primary: flow.HostTag(rapid.Uint8().Draw(t, "primary")),
 			})
 		}
 		data, err := msgpack.Marshal(sent)
@@ -74,7 +75,7 @@
 		})
 	}
 	bodies := map[string][]byte{
-		"cut record":  {7: 1, 8: 1, 9: 1},
+		"cut record":  {7: 1, 8: 1, 9: 1, 10: 1},
 		"long flow":   make([]byte, 9),
 		"lone prefix": {1},
 	}
--- a/flow/record.go
+++ b/flow/record.go
@@ -11,6 +11,9 @@
 // Minutes is the age of a record.
 type Minutes uint8
 
+// HostTag is a short hash of a host's identifier; zero means none.
+type HostTag uint8
+
 // Record says which target holds a flow that the table may not give to it.
 type Record struct {
 	Flow    pimentospread.FlowID
@@ -18,10 +21,16 @@
 	Target  pimentospread.TargetID
 	// Age is the time since the flow was last known to be in use.
 	Age Minutes
+	// Primary is the holder that the writer ranked first. Two hosts that disagree
+	// on the live hosts settle a conflict by it.
+	Primary HostTag
 }
 
+// minRecord is the least number of bytes that a record takes.
+const minRecord = 12
+
 // Records are encoded as one binary string, because field names would take
-// more of the control budget than the content. A record takes 11 bytes while
+// more of the control budget than the content. A record takes 12 bytes while
 // the service and the target are below 128.
 type Records []Record
 
@@ -30,12 +39,12 @@
 
 // EncodeMsgpack writes the compact form.
 func (r Records) EncodeMsgpack(e *msgpack.Encoder) error {
-	b := make([]byte, 0, 12*len(r))
+	b := make([]byte, 0, (minRecord+2)*len(r))
 	for _, x := range r {
 		b = binary.BigEndian.AppendUint64(b, uint64(x.Flow))
 		b = binary.AppendUvarint(b, uint64(x.Service))
 		b = binary.AppendUvarint(b, uint64(x.Target))
-		b = append(b, byte(x.Age))
+		b = append(b, byte(x.Age), byte(x.Primary))
 	}
 	return e.EncodeBytes(b)
 }
@@ -46,7 +55,7 @@
 	if err != nil {
 		return err
 	}
-	list := make(Records, 0, len(b)/11)
+	list := make(Records, 0, len(b)/minRecord)
 	for len(b) > 0 {
 		x, rest, ok := decodeRecord(b)
 		if !ok {
@@ -70,12 +79,12 @@
 	}
 	b = b[n:]
 	target, n := binary.Uvarint(b)
-	if n <= 0 || target > 1<<32-1 || len(b) == n {
+	if n <= 0 || target > 1<<32-1 || len(b) < n+2 {
 		return Record{}, nil, false
 	}
 	x.Service, x.Target = pimentospread.ServiceID(service), pimentospread.TargetID(target)
-	x.Age = Minutes(b[n])
-	return x, b[n+1:], true
+	x.Age, x.Primary = Minutes(b[n]), HostTag(b[n+1])
+	return x, b[n+2:], true
 }
 
 // EncodeMsgpack writes the compact form.
--- a/flow/table.go
+++ b/flow/table.go
@@ -45,8 +45,11 @@
 	Forwards uint8
 	// Round is the announcement round in which the flow was last visited.
 	Round uint8
+	// Primary is the first holder by the writer of a record.
+	Primary HostTag
 	// Born is the lowest byte of the time at which the flow was first seen.
-	Born  uint8
+	Born uint8
+	// Marks are facts about the flow.
 	Marks Mark
 }
 
