Settle repeated SYNs while hosts change over

Four faults: a returned target took a repeated SYN by default while the first SYN had a record elsewhere; a host that had not activated a release gave flows of an avoided target to a target of the new release; a holder with the older release replaced a record for a target that it did not know yet; a paused holder kept the losing record because nobody corrected it. Change: flows of changed buckets are recorded for 8 s after a change of view; avoidance goes by the active table; targets from NextTargetID on are unknown and not gone; holders that did not answer in time are corrected too. The fake cell no longer sends packets to hosts that left long ago.

--- a/decide/call_test.go
+++ b/decide/call_test.go
@@ -48,7 +48,7 @@
 	for range copies {
 		var ready []*fakeHost
 		for _, h := range c.hosts {
-			if h.ready || !h.up {
+			if h.ready {
 				ready = append(ready, h)
 			}
 		}
--- a/decide/cell_test.go
+++ b/decide/cell_test.go
@@ -128,7 +128,7 @@
 // publish makes a release of two services; each host hears of it after its own delay.
 func (c *cell) publish(pools []pool.Pool) {
 	v := &View{
-		Release:   &release.Release{Generation: pimentospread.Generation(len(c.releases) + 1), PublishedAt: c.now},
+		Release:   &release.Release{Generation: pimentospread.Generation(len(c.releases) + 1), PublishedAt: c.now, NextTargetID: c.nextID + 1},
 		Services:  map[pimentospread.ServiceID]*ServiceView{},
 		ByAddress: map[netip.AddrPort]pimentospread.ServiceID{},
 	}
@@ -216,7 +216,8 @@
 }
 
 func (c *cell) die(h *fakeHost) {
-	h.up, h.ready = false, false
+	h.up = false
+	c.at(deadTime, nil, func() { h.ready = false })
 	c.forgetHost(h, deadTime)
 }
 
--- a/decide/drop.go
+++ b/decide/drop.go
@@ -13,6 +13,8 @@
 	DropNoTarget DropCause = "no_target"
 	// DropTargetGone means that the flow's target was removed from the pool.
 	DropTargetGone DropCause = "target_gone"
+	// DropNewerRelease means that only a release which this host does not have yet knows the target.
+	DropNewerRelease DropCause = "newer_release"
 	// DropTargetFull means that the target has as many flows as it holds.
 	DropTargetFull DropCause = "target_full"
 	// DropNotActivated means that the target drains and not every live peer knows of it yet.
--- a/decide/flows.go
+++ b/decide/flows.go
@@ -1,6 +1,7 @@
 package decide
 
 import (
+	"maps"
 	"time"
 
 	"pimentospread"
@@ -19,8 +20,10 @@
 	cautionAfterPause = 2 * time.Second
 	// cautionAfterStart is the time in which a new host hears of suspended targets.
 	cautionAfterStart = time.Second
-	defaultMaxFlows   = 1 << 20
-	defaultMaxHeld    = 2048
+	// synRepeats is the time in which a caller repeats a SYN three times, after 1, 3 and 7 s.
+	synRepeats      = 8 * time.Second
+	defaultMaxFlows = 1 << 20
+	defaultMaxHeld  = 2048
 )
 
 // FlowsDeps is what a flow shard is made of.
@@ -73,7 +76,9 @@
 	// pausedUntil is the same after a pause, when the host takes no new flow: the
 	// peers may have activated a release without it.
 	cautiousUntil, pausedUntil time.Time
-	leaving                    bool
+	// unsettledUntil is the time until which a repeated SYN may have gone by an earlier view.
+	unsettledUntil time.Time
+	leaving        bool
 	// spill stands in for an entry of a full flow table.
 	spill flow.Entry
 }
@@ -110,6 +115,9 @@
 	f.holders = newHolders(v.Self, v.Live)
 	f.silence.within, f.walk.idle = longest(v)
 	newlySuspended := f.suspend(now)
+	if !v.Active || !old.steersLike(v) {
+		f.unsettledUntil = now.Add(synRepeats)
+	}
 	if v.Active {
 		f.active = make(map[pimentospread.ServiceID]*pool.Table, len(v.Services))
 		for id, s := range v.Services {
@@ -196,6 +204,12 @@
 	return s
 }
 
+// steersLike reports whether new flows go to the same targets by both views.
+func (v *View) steersLike(o *View) bool {
+	return v != nil && v.Active == o.Active && v.Generation() == o.Generation() &&
+		maps.Equal(v.Flagged, o.Flagged) && maps.Equal(v.Avoided, o.Avoided)
+}
+
 func (f *Flows) begin(now time.Time) {
 	f.start, f.ticked = now, now
 	f.cautiousUntil = now.Add(cautionAfterStart)
--- a/decide/pending.go
+++ b/decide/pending.go
@@ -162,7 +162,7 @@
 	if target != 0 {
 		marks = flow.Recorded
 	}
-	if _, ok := s.Table.Target(target); !ok {
+	if f.gone(s, target) {
 		target = f.replacement(s, id, h)
 	}
 	f.agree(now, id, h, target)
@@ -232,13 +232,14 @@
 }
 
 // agree corrects the holders that kept another target for a new flow, which
-// happens when two hosts with different views took the same SYN.
+// happens when two hosts with different views took the same SYN. A holder that
+// did not answer in time may have kept another one as well.
 func (f *Flows) agree(now time.Time, id pimentospread.FlowID, h *heldFlow, target pimentospread.TargetID) {
 	if h.target == 0 {
 		return
 	}
 	for _, x := range h.answers {
-		if x.state != answerGiven || x.target == target {
+		if x.state == answerLost || x.state == answerGiven && x.target == target {
 			continue
 		}
 		r := flow.Record{Flow: id, Service: h.service, Target: target, Primary: h.primary()}
--- a/decide/records.go
+++ b/decide/records.go
@@ -44,17 +44,24 @@
 	return r
 }
 
+// gone reports whether a target was removed from the pool. A target that a
+// newer release has added is not gone, although this host does not know it yet.
+func (f *Flows) gone(s *ServiceView, t pimentospread.TargetID) bool {
+	_, ok := s.Table.Target(t)
+	return !ok && (f.view.Release == nil || t < f.view.Release.NextTargetID)
+}
+
 // over reports whether the flow of a record has ended.
 func (f *Flows) over(now time.Time, e *flow.Entry, mode keepMode) bool {
 	s := f.view.Services[e.Service]
 	if s == nil {
 		return true
 	}
-	g, ok := s.Table.Target(e.Target)
-	if !ok {
+	if f.gone(s, e.Target) {
 		return true
 	}
-	return mode == keepNew && g.State == pool.Draining && f.seconds(now)-e.Seen >= reuseAfter
+	g, ok := s.Table.Target(e.Target)
+	return mode == keepNew && ok && g.State == pool.Draining && f.seconds(now)-e.Seen >= reuseAfter
 }
 
 // lookUp finds the target of a flow in the records, or in the flow table when
--- a/decide/steer.go
+++ b/decide/steer.go
@@ -64,8 +64,10 @@
 	g, ok := s.Table.Target(e.Target)
 	age := f.seconds(now) - e.Seen
 	switch {
-	case !ok, e.Closed():
+	case e.Closed():
 		return true
+	case !ok:
+		return f.gone(s, e.Target)
 	case g.State == pool.Draining:
 		return age >= reuseAfter
 	default:
@@ -77,8 +79,7 @@
 func (f *Flows) pass(now time.Time, s *ServiceView, e *flow.Entry, p flow.Packet, raw []byte, a *FlowActions) {
 	g, ok := s.Table.Target(e.Target)
 	if !ok {
-		f.forget(p.ID)
-		f.drop(DropTargetGone, a)
+		f.noTarget(s, e, a)
 		return
 	}
 	if p.Direction == flow.ToCaller {
@@ -99,6 +100,16 @@
 	f.unanswered(now, s, e, p, raw, a)
 }
 
+// noTarget drops a packet whose target this host does not know.
+func (f *Flows) noTarget(s *ServiceView, e *flow.Entry, a *FlowActions) {
+	if !f.gone(s, e.Target) {
+		f.drop(DropNewerRelease, a)
+		return
+	}
+	f.forget(e.ID)
+	f.drop(DropTargetGone, a)
+}
+
 func (f *Flows) answer(now time.Time, e *flow.Entry, p flow.Packet, raw []byte, a *FlowActions) {
 	if p.From != e.Target {
 		f.drop(DropForeignTarget, a)
@@ -175,21 +186,27 @@
 	f.settle(now, s, e, p, raw, a)
 }
 
-// place chooses the target of a new flow, or says why there is none.
+// place chooses the target of a new flow, or says why there is none. Until a
+// view is active, new flows go by the last active one; a host that has had none
+// takes the epoch before the current one.
 func (f *Flows) place(s *ServiceView, c pool.Choice, p flow.Packet) (pimentospread.TargetID, DropCause) {
+	table := s.Table
 	target := c.Current
 	if !f.view.Active {
-		target = f.beforeActivation(c, p)
-		if g, ok := s.Table.Target(target); target != 0 && (!ok || g.State == pool.Draining) {
-			return 0, DropNotActivated
+		target = c.Previous
+		if t := f.active[p.Service]; t != nil {
+			table, target = t, t.Lookup(p.ID).Current
 		}
 	}
 	if f.view.Avoided[target] {
-		target = s.Table.Without(p.ID, f.view.Avoided)
+		target = table.Without(p.ID, f.view.Avoided)
 	}
 	g, ok := s.Table.Target(target)
-	if !ok {
+	switch {
+	case target == 0:
 		return 0, DropNoTarget
+	case !ok, !f.view.Active && g.State == pool.Draining:
+		return 0, DropNotActivated
 	}
 	if limit := (int(g.Connections) + f.deps.Shards - 1) / f.deps.Shards; limit > 0 && f.stats.Held[target] >= limit {
 		return 0, DropTargetFull
@@ -197,15 +214,6 @@
 	return target, ""
 }
 
-// beforeActivation returns the target by the last active view. A host that
-// has had none takes the epoch before the current one.
-func (f *Flows) beforeActivation(c pool.Choice, p flow.Packet) pimentospread.TargetID {
-	if t := f.active[p.Service]; t != nil {
-		return t.Lookup(p.ID).Current
-	}
-	return c.Previous
-}
-
 // changed reports whether a record of a flow with this choice may exist.
 func (f *Flows) changed(now time.Time, c pool.Choice) bool {
 	return now.Before(f.cautiousUntil) || f.differs(now, c)
@@ -217,10 +225,11 @@
 }
 
 // mustRecord reports whether a new flow needs a record before its SYN goes
-// out. While hosts change over from one choice to another, a repeated SYN at
-// another host must find the first choice.
+// out. While hosts change over from one choice to another, and for as long
+// after that as a SYN is repeated, both the first and the repeated one must
+// meet at the holders, even when one of them goes to the default.
 func (f *Flows) mustRecord(now time.Time, c pool.Choice, target pimentospread.TargetID) bool {
-	return target != c.Default || f.view.Flagged[target] || !f.view.Active && f.differs(now, c)
+	return target != c.Default || f.view.Flagged[target] || now.Before(f.unsettledUntil) && f.differs(now, c)
 }
 
 func (f *Flows) learn(now time.Time, e flow.Entry) *flow.Entry {
--- a/decide/walk.go
+++ b/decide/walk.go
@@ -148,10 +148,7 @@
 // flowEnded reports whether a flow is idle for too long or its target or service is gone.
 func (f *Flows) flowEnded(now time.Time, e *flow.Entry) bool {
 	s := f.view.Services[e.Service]
-	if s == nil {
-		return true
-	}
-	if _, ok := s.Table.Target(e.Target); !ok {
+	if s == nil || f.gone(s, e.Target) {
 		return true
 	}
 	if e.Closed() {
