Return no error from duty groups whose parent ends by a signal

Cause: signal.NotifyContext of Go 1.26 ends its context with a cause that names the signal. Group.Wait returned that cause, so a planned stop of a process looked like a failure; the stand-ins worked around it. Change: a failed duty ends its group with a cause of its own type, and Wait returns only that cause of this group. The workaround in standin is gone. Conclusion: an ordinary end gives nil, a failed duty still gives its error.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -20,13 +20,8 @@
 )
 
 func main() {
-	signals, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	// The cause of a context that a signal ends is an error that names the
-	// signal. A signal is an ordinary stop here, so it becomes a plain cancellation.
-	ctx, cancel := context.WithCancel(context.WithoutCancel(signals))
-	defer cancel()
-	context.AfterFunc(signals, cancel)
 	root := &cli.Command{
 		Name:      "standin",
 		Usage:     "stand-ins for demos and tests, on loopback only",
--- a/duty/group.go
+++ b/duty/group.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"sync"
 
@@ -22,6 +23,15 @@
 	wait   sync.WaitGroup
 }
 
+// failure is the cause with which a duty ends its group. The cause of a parent
+// context, such as the signal that signal.NotifyContext names, is none.
+type failure struct {
+	group *Group
+	err   error
+}
+
+func (f failure) Error() string { return f.err.Error() }
+
 // NewGroup returns a group whose duties end when ctx ends.
 func NewGroup(ctx context.Context, log *slog.Logger) *Group {
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -36,7 +46,7 @@
 			return
 		}
 		g.log.Error("duty failed", "duty", name, "error", err)
-		g.cancel(pimentospread.At(errorx.Decorate(err, "duty %q failed", name), "duty", ""))
+		g.cancel(failure{g, pimentospread.At(errorx.Decorate(err, "duty %q failed", name), "duty", "")})
 	})
 }
 
@@ -46,12 +56,13 @@
 // Stop ends all duties.
 func (g *Group) Stop() { g.cancel(context.Canceled) }
 
-// Wait joins all duties and returns the error of the first that failed.
+// Wait joins all duties and returns the error of the first that failed. It
+// returns nil when Stop or the parent context ended them.
 func (g *Group) Wait() error {
 	g.wait.Wait()
-	cause := context.Cause(g.ctx)
-	if cause == context.Canceled || cause == nil { //nolint:errorlint // only the bare value means an ordinary stop
-		return nil
+	var f failure
+	if errors.As(context.Cause(g.ctx), &f) && f.group == g {
+		return f.err
 	}
-	return cause
+	return nil
 }
