Test the commands and the administration API, and mend what the tests found

Cause: the command line and the administration API had no tests. Change: usage errors have their own handler; object sets are sifted by type, so every unknown field and unreadable value is a fault with its path, and the rest of the set is checked as well; errors are printed as one plain line with step and peer; burn checks each report and names why a host is missing. publish.Faults moved to the root package as FaultsOf.

--- a/cmd/pimentospread/main.go
+++ b/cmd/pimentospread/main.go
@@ -10,6 +10,7 @@
 	"runtime/debug"
 	"syscall"
 
+	"pimentospread"
 	"pimentospread/command"
 	"pimentospread/host"
 )
@@ -33,7 +34,7 @@
 	})
 	err := tree.Run(ctx, os.Args)
 	if err != nil {
-		_, _ = fmt.Fprintln(os.Stderr, "pimentospread:", err)
+		_, _ = fmt.Fprintln(os.Stderr, "pimentospread:", pimentospread.Text(err))
 	}
 	return command.ExitCode(err)
 }
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -11,6 +11,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"pimentospread"
 	"pimentospread/standin/caller"
 	"pimentospread/standin/fabric"
 	"pimentospread/standin/ledger"
@@ -38,7 +39,7 @@
 		},
 	}
 	if err := root.Run(ctx, os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, err)
+		fmt.Fprintln(os.Stderr, "standin:", pimentospread.Text(err))
 		os.Exit(1)
 	}
 }
--- a/command/burn.go
+++ b/command/burn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"time"
 
@@ -34,7 +35,7 @@
 			},
 		}},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			report, err := gatherBurn(ctx, client(c))
+			report, err := s.gatherBurn(ctx, client(c))
 			if err != nil {
 				return err
 			}
@@ -46,8 +47,9 @@
 	}
 }
 
-// gatherBurn asks every host of the cell, one after the other.
-func gatherBurn(ctx context.Context, first *operator.Client) (burn.Report, error) {
+// gatherBurn asks every host of the cell, one after the other. The reason why
+// a host is missing goes to the error output, so that the report stays whole.
+func (s commands) gatherBurn(ctx context.Context, first *operator.Client) (burn.Report, error) {
 	status, err := first.Status(ctx)
 	if err != nil {
 		return burn.Report{}, err
@@ -56,9 +58,12 @@
 	var reports []burn.HostReport
 	for _, h := range status.Hosts {
 		asked = append(asked, h.Host)
-		if r, err := hostBurn(ctx, first, h); err == nil {
-			reports = append(reports, r)
+		r, err := hostBurn(ctx, first, h)
+		if err != nil {
+			_, _ = fmt.Fprintf(s.deps.Stderr, "host %s did not answer: %s\n", h.Host, pimentospread.Text(err))
+			continue
 		}
+		reports = append(reports, r)
 	}
 	return burn.Merge(asked, reports), nil
 }
@@ -66,7 +71,15 @@
 func hostBurn(ctx context.Context, first *operator.Client, h member.HostStatus) (burn.HostReport, error) {
 	ctx, cancel := context.WithTimeout(ctx, burnTimeout)
 	defer cancel()
-	return first.At(h.AdminAddress).Burn(ctx)
+	r, err := first.At(h.AdminAddress).Burn(ctx)
+	if err != nil {
+		return r, err
+	}
+	if r.Host != h.Host {
+		err := pimentospread.ErrInvalid.New("the report is of host %q", r.Host)
+		return r, pimentospread.At(err, "check burn", h.AdminAddress.String())
+	}
+	return r, nil
 }
 
 func isTimeout(err error) bool {
--- a/command/change.go
+++ b/command/change.go
@@ -30,6 +30,7 @@
 			}
 			set, err := release.DecodeSet(data)
 			if err != nil {
+				printFaults(s.deps.Stderr, pimentospread.FaultsOf(err))
 				return err
 			}
 			return s.publish(ctx, c, publish.Change{Objects: &set, Replace: c.Bool(flagReplace)})
@@ -89,11 +90,13 @@
 			if err != nil {
 				return err
 			}
-			set, err := release.DecodeSet(data)
+			faults, err := release.CheckSet(data)
 			if err != nil {
 				return err
 			}
-			_, faults := release.Next(nil, set, release.Publication{ID: "check"})
+			if faults == nil {
+				faults = []pimentospread.Fault{} // JSON output is a list in any case
+			}
 			if err := s.print(c, faults, func(w io.Writer) { printFaults(w, faults) }); err != nil {
 				return err
 			}
--- a/command/root.go
+++ b/command/root.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"strings"
 
 	"github.com/joomcode/errorx"
 	"github.com/urfave/cli/v3"
@@ -44,15 +45,18 @@
 // New returns the command tree.
 func New(deps Deps) *cli.Command {
 	c := commands{deps: deps}
-	return &cli.Command{
+	root := &cli.Command{
 		Name:                  "pimentospread",
 		Usage:                 "layer-4 load balancer",
 		EnableShellCompletion: true,
 		Writer:                deps.Stdout,
 		ErrWriter:             deps.Stderr,
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
-		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
-			return errUsage.Wrap(err, "wrong use")
+		Action: func(_ context.Context, c *cli.Command) error {
+			if c.Args().Present() {
+				return errUsage.New("command %q does not exist; see pimentospread --help", c.Args().First())
+			}
+			return cli.ShowRootCommandHelp(c)
 		},
 		Description: "Exit codes: 0 done, 1 failed, 2 wrong use, 3 refused by a check, 4 lost a race.",
 		Commands: []*cli.Command{
@@ -60,6 +64,18 @@
 			c.status(), c.burn(), c.settings(), c.version(),
 		},
 	}
+	root.OnUsageError = usageError
+	for _, sub := range root.Commands {
+		sub.OnUsageError = usageError
+	}
+	return root
+}
+
+// usageError marks what the command line parser finds. The parser drops the
+// types of the errors that validators return, so their text is kept alone.
+func usageError(_ context.Context, c *cli.Command, err error, _ bool) error {
+	text := strings.ReplaceAll(err.Error(), errUsage.FullName()+": ", "")
+	return errUsage.New("%s; see %s --help", text, c.FullName())
 }
 
 // ExitCode returns the exit code for the error of a command.
--- a/command/show.go
+++ b/command/show.go
@@ -88,6 +88,7 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: flagSettings, Usage: "JSON file with the settings; - reads standard input"},
 			&cli.BoolFlag{Name: flagReference, Usage: "print the reference page in Markdown"},
+			&cli.StringFlag{Name: flagOutput, Value: outputJSON, Usage: "json; settings have no other form", Validator: onlyJSON},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
 			if c.Bool(flagReference) {
@@ -95,6 +96,9 @@
 				_, _ = io.WriteString(s.deps.Stdout, page)
 				return err
 			}
+			if c.String(flagSettings) == "" {
+				return errUsage.New("settings needs --settings or --reference")
+			}
 			data, err := s.read(c.String(flagSettings))
 			if err != nil {
 				return err
@@ -117,6 +121,13 @@
 	}
 }
 
+func onlyJSON(value string) error {
+	if value == outputJSON {
+		return nil
+	}
+	return errUsage.New("output %q is not json", value)
+}
+
 func (s commands) version() *cli.Command {
 	return &cli.Command{
 		Name:        "version",
--- a/errors.go
+++ b/errors.go
@@ -1,6 +1,8 @@
 package pimentospread
 
 import (
+	"strings"
+
 	"github.com/joomcode/errorx"
 )
 
@@ -52,3 +54,35 @@
 	s, _ := v.(string)
 	return s
 }
+
+// MessageOf returns the messages of the error and of its causes on one line,
+// without the names of error types, properties and stack traces.
+func MessageOf(err error) string {
+	var parts []string
+	for err != nil {
+		text, cause := err.Error(), error(nil)
+		if cast := errorx.Cast(err); cast != nil {
+			text, cause = cast.Message(), cast.Cause()
+		}
+		if text != "" {
+			parts = append(parts, text)
+		}
+		err = cause
+	}
+	return strings.Join(parts, ": ")
+}
+
+// Text returns the message of the error with its step and peer, for people.
+func Text(err error) string { return WithPlace(MessageOf(err), StepOf(err), PeerOf(err)) }
+
+// WithPlace returns the message with the step and the peer; both may be empty.
+func WithPlace(message, step, peer string) string {
+	switch {
+	case step == "":
+		return message
+	case peer == "":
+		return message + " (step " + step + ")"
+	default:
+		return message + " (step " + step + ", peer " + peer + ")"
+	}
+}
--- a/host/serve.go
+++ b/host/serve.go
@@ -50,11 +50,11 @@
 	return slog.New(newLimitedHandler(handler, generation)).With("host", s.Host, "failure_domain", s.FailureDomain)
 }
 
-// withoutStack writes an error as its message. The text handler would print
+// withoutStack writes an error as one plain line. The text handler would print
 // the stack that errorx keeps as well.
 func withoutStack(_ []string, a slog.Attr) slog.Attr {
 	if err, ok := a.Value.Any().(error); ok {
-		return slog.String(a.Key, err.Error())
+		return slog.String(a.Key, pimentospread.Text(err))
 	}
 	return a
 }
--- a/operator/client.go
+++ b/operator/client.go
@@ -50,8 +50,14 @@
 // Burn returns what the host has counted for the service-level burn report.
 func (c *Client) Burn(ctx context.Context) (burn.HostReport, error) {
 	var r burn.HostReport
-	err := c.call(ctx, http.MethodGet, "/v1/burn", nil, &r)
-	return r, err
+	if err := c.call(ctx, http.MethodGet, "/v1/burn", nil, &r); err != nil {
+		return r, err
+	}
+	if faults := r.Check("Report"); len(faults) > 0 {
+		err := pimentospread.ErrInvalid.New("the burn report has %d faults, the first at %s", len(faults), faults[0])
+		return r, pimentospread.WithFaults(pimentospread.At(err, "check burn", c.base), faults)
+	}
+	return r, nil
 }
 
 // Check checks a set of objects without publishing it.
--- a/operator/problem.go
+++ b/operator/problem.go
@@ -2,13 +2,11 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"net/http"
 
 	"github.com/joomcode/errorx"
 
 	"pimentospread"
-	"pimentospread/publish"
 )
 
 const (
@@ -47,8 +45,8 @@
 
 func problemOf(err error) Problem {
 	p := Problem{
-		Status: http.StatusInternalServerError, Kind: "internal", Detail: err.Error(),
-		Step: pimentospread.StepOf(err), Peer: pimentospread.PeerOf(err), Faults: publish.Faults(err),
+		Status: http.StatusInternalServerError, Kind: "internal", Detail: pimentospread.MessageOf(err),
+		Step: pimentospread.StepOf(err), Peer: pimentospread.PeerOf(err), Faults: pimentospread.FaultsOf(err),
 	}
 	for _, k := range kinds {
 		if errorx.IsOfType(err, k.kind) {
@@ -61,17 +59,7 @@
 }
 
 // Error makes a Problem usable as an error on the client's side.
-func (p Problem) Error() string {
-	text := p.Detail
-	if p.Step != "" {
-		text += fmt.Sprintf(" (step %s", p.Step)
-		if p.Peer != "" {
-			text += ", peer " + p.Peer
-		}
-		text += ")"
-	}
-	return text
-}
+func (p Problem) Error() string { return pimentospread.WithPlace(p.Detail, p.Step, p.Peer) }
 
 func writeProblem(w http.ResponseWriter, err error) {
 	p := problemOf(err)
--- a/operator/server.go
+++ b/operator/server.go
@@ -157,12 +157,12 @@
 		writeProblem(w, unreadable(err))
 		return
 	}
-	set, err := release.DecodeSet(body)
+	faults, err := release.CheckSet(body)
 	if err != nil {
 		writeProblem(w, err)
 		return
 	}
-	if _, faults := release.Next(nil, set, release.Publication{ID: "check"}); len(faults) > 0 {
+	if len(faults) > 0 {
 		writeProblem(w, publish.Invalid(faults))
 		return
 	}
@@ -183,7 +183,7 @@
 	}
 	published, err := s.deps.Publisher.Publish(r.Context(), c)
 	if err != nil {
-		s.deps.Log.Warn("change refused", "publisher", c.Publisher, "peer", r.RemoteAddr, "error", err)
+		s.deps.Log.Warn("change refused", "publisher", c.Publisher, "peer", r.RemoteAddr, "error", err, "faults", pimentospread.FaultsOf(err))
 		writeProblem(w, err)
 		return
 	}
--- /dev/null
+++ b/operator/server_test.go
@@ -0,0 +1,139 @@
+package operator_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"pimentospread"
+	"pimentospread/burn"
+	"pimentospread/member"
+	"pimentospread/operator"
+	"pimentospread/publish"
+	"pimentospread/release"
+)
+
+// memory is a platform that keeps objects in memory.
+type memory map[pimentospread.ObjectKey]pimentospread.Object
+
+func (m memory) Get(_ context.Context, key pimentospread.ObjectKey) (pimentospread.Object, error) {
+	o, ok := m[key]
+	if !ok {
+		return o, pimentospread.ErrNotFound.New("%s %q does not exist", key.Kind, key.Name)
+	}
+	return o, nil
+}
+
+func (m memory) Put(_ context.Context, key pimentospread.ObjectKey, value json.RawMessage, expected pimentospread.ObjectVersion) (pimentospread.ObjectVersion, error) {
+	if m[key].Version != expected {
+		return 0, pimentospread.ErrConflict.New("other version")
+	}
+	m[key] = pimentospread.Object{ObjectKey: key, Version: expected + 1, Value: value}
+	return expected + 1, nil
+}
+
+func (m memory) Watch(context.Context, pimentospread.ObjectKey, pimentospread.ObjectVersion) (pimentospread.Object, error) {
+	return pimentospread.Object{}, pimentospread.ErrTimeout.New("no change")
+}
+
+const token = "a-token"
+
+func newServer(change func(*operator.Deps)) *operator.Server {
+	d := operator.Deps{
+		Log: slog.New(slog.DiscardHandler), Token: token,
+		Publisher: publish.New(publish.Deps{
+			Platform: memory{}, Clock: pimentospread.SystemClock{}, Cell: "cell",
+			NewID: func() pimentospread.PublishID { return "id" }, NewSeed: func() uint64 { return 1 },
+		}),
+		Release: func(context.Context, pimentospread.Generation) (*release.Release, error) {
+			return nil, pimentospread.At(pimentospread.ErrTimeout.New("no change"), "watch release", "peer-2")
+		},
+		Status: func(context.Context) (member.CellStatus, error) {
+			return member.CellStatus{}, fmt.Errorf("disordered")
+		},
+		Burn:    func(context.Context) (burn.HostReport, error) { return burn.HostReport{}, nil },
+		Metrics: func(w io.Writer) { _, _ = io.WriteString(w, "metric 1\n") },
+		Ready:   func(context.Context) bool { return false },
+	}
+	if change != nil {
+		change(&d)
+	}
+	return operator.NewServer(d)
+}
+
+// Guards against a change without the right token, and against errors that do
+// not say what, where and at which peer.
+func TestProblems(t *testing.T) {
+	sound, err := os.ReadFile("../examples/trust.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	change := `{"Objects":` + string(sound) + `}`
+	tests := map[string]struct {
+		method, path, body, authorization string
+		want                              operator.Problem
+	}{
+		"no token":      {"POST", "/v1/changes", change, "", operator.Problem{Title: "Forbidden", Status: 403, Detail: "a change needs the administration token", Kind: "refused", Step: "authorize", Peer: "192.0.2.1:1234"}},
+		"wrong token":   {"POST", "/v1/changes", change, "Bearer a-tokem", operator.Problem{Title: "Forbidden", Status: 403, Detail: "a change needs the administration token", Kind: "refused", Step: "authorize", Peer: "192.0.2.1:1234"}},
+		"token alone":   {"POST", "/v1/changes", change, token, operator.Problem{Title: "Forbidden", Status: 403, Detail: "a change needs the administration token", Kind: "refused", Step: "authorize", Peer: "192.0.2.1:1234"}},
+		"empty change":  {"POST", "/v1/changes", "{}", "Bearer " + token, operator.Problem{Title: "Unprocessable Entity", Status: 422, Detail: "the objects have 1 faults", Kind: "invalid", Step: "check", Faults: []pimentospread.Fault{{Problem: "the change is empty"}}}},
+		"lost race":     {"POST", "/v1/changes", `{"Rollback":1,"IfGeneration":7}`, "Bearer " + token, operator.Problem{Title: "Conflict", Status: 409, Detail: "lost the race: no release is in force", Kind: "conflict", Step: "publish", Peer: "platform"}},
+		"faults":        {"POST", "/v1/check", `{"Services":[{"Name":"a","Colour":1}]}`, "", operator.Problem{Title: "Unprocessable Entity", Status: 422, Detail: "the objects have 4 faults", Kind: "invalid", Step: "check", Faults: []pimentospread.Fault{{Path: "Services[0].Colour", Problem: "is not a known field"}, {Path: "Services[0].Addresses", Problem: "needs at least one address"}, {Path: "Services[0].Pool", Problem: `target pool "" does not exist`}, {Path: "Services[0].Policy", Problem: `policy "" does not exist`}}}},
+		"watch ended":   {"GET", "/v1/release?After=3", "", "", operator.Problem{Title: "Gateway Timeout", Status: 504, Detail: "no change", Kind: "timeout", Step: "watch release", Peer: "peer-2"}},
+		"wait unclear":  {"GET", "/v1/release?Wait=5", "", "", operator.Problem{Title: "Unprocessable Entity", Status: 422, Detail: "Wait is not a duration with a unit: time: missing unit in duration \"5\"", Kind: "invalid", Step: "decode"}},
+		"foreign error": {"GET", "/v1/status", "", "", operator.Problem{Title: "Internal Server Error", Status: 500, Detail: "disordered", Kind: "internal"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := httptest.NewRequestWithContext(t.Context(), tt.method, tt.path, strings.NewReader(tt.body))
+			r.Header.Set("Authorization", tt.authorization)
+			w := httptest.NewRecorder()
+			newServer(nil).ServeHTTP(w, r)
+			var got operator.Problem
+			if err := json.Unmarshal(w.Body.Bytes(), &got); err != nil {
+				t.Fatalf("%s: %v", w.Body, err)
+			}
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Error(diff)
+			}
+			if w.Code != tt.want.Status || w.Header().Get("Content-Type") != "application/problem+json" {
+				t.Errorf("status %d, type %q", w.Code, w.Header().Get("Content-Type"))
+			}
+		})
+	}
+}
+
+// Guards against a host that takes changes because it was given no token.
+func TestNoTokenRefusesEveryChange(t *testing.T) {
+	s := newServer(func(d *operator.Deps) { d.Token = "" })
+	for _, authorization := range []string{"", "Bearer ", "Bearer x"} {
+		r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/v1/changes", bytes.NewBufferString("{}"))
+		r.Header.Set("Authorization", authorization)
+		w := httptest.NewRecorder()
+		s.ServeHTTP(w, r)
+		if w.Code != http.StatusForbidden {
+			t.Errorf("authorization %q: status %d", authorization, w.Code)
+		}
+	}
+}
+
+// Guards against a host that stays in the fabric although it is not ready, and against a missing metrics page.
+func TestHealthAndMetrics(t *testing.T) {
+	for path, want := range map[string]string{"/livez": "200 ok\n", "/readyz": "503 not ready\n", "/metrics": "200 metric 1\n"} {
+		w := httptest.NewRecorder()
+		newServer(nil).ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), http.MethodGet, path, nil))
+		if got := fmt.Sprintf("%d %s", w.Code, w.Body); got != want {
+			t.Errorf("%s: got %q, want %q", path, got, want)
+		}
+	}
+}
--- a/release/set.go
+++ b/release/set.go
@@ -3,8 +3,6 @@
 package release
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
 	"net/netip"
 
@@ -21,17 +19,6 @@
 	Policies    []policy.Policy   `json:"Policies"`
 }
 
-// DecodeSet reads a set and refuses unknown fields. It does not check references.
-func DecodeSet(data []byte) (Set, error) {
-	var s Set
-	d := json.NewDecoder(bytes.NewReader(data))
-	d.DisallowUnknownFields()
-	if err := d.Decode(&s); err != nil {
-		return Set{}, pimentospread.At(pimentospread.ErrInvalid.Wrap(err, "object set is not valid"), "decode", "")
-	}
-	return s, nil
-}
-
 // Check returns every fault of the set: of each object by itself, duplicate
 // names, references to objects that do not exist, and addresses that overlap.
 func (s Set) Check() []pimentospread.Fault {
