Run the demo with Go, bash and make alone

Cause: the demo needed curl and jq, and took free ports in advance that another demo could take before its hosts did. Change: the stand-ins write the settings of the hosts (settings), make the roster of the addresses that the hosts log at their start (roster), call HTTP endpoints (call) and read a field of a JSON file (show). Hosts get their ports from the kernel, and the programs are built into the folder of the run, so demos can run at the same time. What another demo can use is in scripts/cell.sh; the subcommand ports is gone. The start line of a host logs its addresses in one form.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -13,6 +13,7 @@
 
 	"pimentospread"
 	"pimentospread/standin/caller"
+	"pimentospread/standin/cell"
 	"pimentospread/standin/fabric"
 	"pimentospread/standin/ledger"
 	"pimentospread/standin/loopback"
@@ -35,7 +36,10 @@
 			target.SetCommand(),
 			caller.Command(),
 			ledger.Command(),
-			loopback.PortsCommand(),
+			cell.SettingsCommand(),
+			cell.RosterCommand(),
+			loopback.CallCommand(),
+			loopback.ShowCommand(),
 		},
 	}
 	if err := root.Run(ctx, os.Args); err != nil {
--- a/host/host.go
+++ b/host/host.go
@@ -162,7 +162,7 @@
 	g.Go("receive", h.receiver.run)
 	g.Go("report", h.reporter.run)
 	g.Go("operator", func(ctx context.Context) error { return h.operator.Run(ctx, h.sockets.admin) })
-	h.log.Info("host started", "data", h.sockets.data.address(), "peer", h.sockets.peer.Addr(), "admin", h.sockets.admin.Addr())
+	h.log.Info("host started", "data", h.sockets.data.address(), "peer", addressOf(h.sockets.peer), "admin", addressOf(h.sockets.admin))
 	select {
 	case <-ctx.Done():
 		h.shutDown(g.Context())
--- /dev/null
+++ b/standin/cell/settings.go
@@ -0,0 +1,78 @@
+// Package cell prepares the hosts of a cell for a demo: it writes their
+// settings, and makes the roster of the addresses that the kernel gave them.
+package cell
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+
+	"github.com/urfave/cli/v3"
+
+	"pimentospread"
+	"pimentospread/settings"
+)
+
+const maxHosts = 64
+
+// SettingsCommand returns the subcommand that writes the settings of all hosts
+// of a cell. Their ports are chosen by the kernel when they start, so that
+// cells on one machine do not disturb each other.
+func SettingsCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "settings",
+		Usage: "write the settings of the hosts of a cell as host-1.json, host-2.json and so on",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "directory", Required: true, Usage: "`DIRECTORY` of the files"},
+			&cli.StringFlag{Name: "cell", Required: true, Usage: "`NAME` of the cell"},
+			&cli.IntFlag{Name: "count", Value: 8, Usage: "number of hosts"},
+			&cli.StringSliceFlag{Name: "domain", Required: true, Usage: "failure `DOMAIN`s, given out in turn"},
+			&cli.StringFlag{Name: "platform", Required: true, Usage: "`URL` of the platform"},
+			&cli.StringFlag{Name: "fabric", Required: true, Usage: "`ADDRESS` of the fabric"},
+			&cli.StringFlag{Name: "trace", Usage: "`DIRECTORY` of the traces; none are written without it"},
+		},
+		Action: func(_ context.Context, c *cli.Command) error { return writeSettings(c) },
+	}
+}
+
+func writeSettings(c *cli.Command) error {
+	fabric, err := netip.ParseAddrPort(c.String("fabric"))
+	if err != nil {
+		return pimentospread.At(pimentospread.ErrInvalid.Wrap(err, "--fabric"), "settings", "")
+	}
+	if n := c.Int("count"); n < 1 || n > maxHosts {
+		return pimentospread.At(pimentospread.ErrInvalid.New("--count must be between 1 and %d, is %d", maxHosts, n), "settings", "")
+	}
+	domains := c.StringSlice("domain")
+	token := rand.Text()
+	for i := range c.Int("count") {
+		s := settings.DefaultSettings()
+		s.Host = pimentospread.HostID(fmt.Sprintf("host-%d", i+1))
+		s.Cell = pimentospread.Cell(c.String("cell"))
+		s.FailureDomain = pimentospread.FailureDomain(domains[i%len(domains)])
+		s.PlatformURL, s.FabricAddress, s.AdminToken = c.String("platform"), fabric, token
+		if d := c.String("trace"); d != "" {
+			s.TracePath = filepath.Join(d, string(s.Host)+".jsonl")
+		}
+		if err := write(filepath.Join(c.String("directory"), string(s.Host)+".json"), s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func write(path string, s settings.Settings) error {
+	data, err := json.MarshalIndent(s, "", "  ")
+	if err != nil {
+		return pimentospread.At(pimentospread.ErrInvalid.Wrap(err, "settings cannot be encoded"), "write", "")
+	}
+	// The file holds the administration token.
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		return pimentospread.At(pimentospread.ErrUnavailable.Wrap(err, "settings"), "write", path)
+	}
+	return nil
+}
