--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 LINT := bin/golangci-lint
 
-.PHONY: build test lint bench demo
+.PHONY: build test lint bench demo demo-office
 
 build:
 	go build -o bin/ ./cmd/...
@@ -24,3 +24,6 @@
 
 demo:
 	scripts/demo.sh
+
+demo-office:
+	scripts/demo-office.sh
--- a/standin/caller/requests.go
+++ b/standin/caller/requests.go
@@ -113,7 +113,7 @@
 	s := r.plan.service(w.Service)
 	id := pimentospread.RequestID{Caller: r.plan.callerID(caller), Sequence: number}
 	a := &asked{
-		Asked: ledger.Asked{Request: id, Service: w.Service, Class: w.Class, Idempotent: w.Idempotent, Told: ledger.Nothing},
+		Asked: ledger.Asked{Request: id, Service: w.Service, Class: w.Class, Idempotent: w.Idempotent, Told: ledger.Nothing, At: pimentospread.Duration{Duration: now.Sub(r.started)}},
 		from:  r.plan.callerAddress(caller), to: s.Address, first: now, nextSend: now, timeout: acknowledgeAfter,
 		assembled: map[string]*assembly{},
 	}
--- a/standin/ledger/command.go
+++ b/standin/ledger/command.go
@@ -19,6 +19,7 @@
 		Flags: []cli.Flag{
 			&cli.StringSliceFlag{Name: "caller", Required: true, Usage: "`FILE` with the ledger of a caller"},
 			&cli.StringSliceFlag{Name: "target", Required: true, Usage: "`FILE` with the ledgers of a target process"},
+			&cli.StringSliceFlag{Name: "phase", Usage: "`NAME=FROM-UNTIL` of a part of the run, such as flood=8s-20s; repeat for each"},
 			&cli.BoolFlag{Name: "json", Usage: "print the outcome as JSON"},
 		},
 		Action: run,
@@ -42,7 +43,16 @@
 		}
 		targets = append(targets, l...)
 	}
+	var phases []Phase
+	for _, text := range c.StringSlice("phase") {
+		p, err := ParsePhase(text)
+		if err != nil {
+			return err
+		}
+		phases = append(phases, p)
+	}
 	o := Compare(callers, targets)
+	o.Service = Serve(callers, phases)
 	if err := o.print(c); err != nil {
 		return err
 	}
@@ -56,7 +66,10 @@
 	if c.Bool("json") {
 		return json.NewEncoder(c.Root().Writer).Encode(o)
 	}
-	return o.WriteTable(c.Root().Writer)
+	if err := o.WriteTable(c.Root().Writer); err != nil || len(o.Service) == 0 {
+		return err
+	}
+	return WriteService(c.Root().Writer, o.Service)
 }
 
 func read(name string, into any) error {
--- a/standin/ledger/outcome.go
+++ b/standin/ledger/outcome.go
@@ -25,6 +25,8 @@
 	// Late counts new work at a draining target after the grace.
 	Late      int
 	Imbalance []Imbalance
+	// Service is the service of each class by phase, when phases are named.
+	Service []Service `json:",omitempty"`
 }
 
 // ClassOutcome counts the requests of one class.
--- a/standin/ledger/outcome_test.go
+++ b/standin/ledger/outcome_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -58,3 +59,35 @@
 		t.Error(diff)
 	}
 }
+
+// Guards against service that is counted in the wrong phase, or for requests without an answer.
+func TestServiceByPhase(t *testing.T) {
+	ask := func(at, took time.Duration, told ledger.Told) ledger.Asked {
+		return ledger.Asked{Class: "map", Told: told, At: pimentospread.Duration{Duration: at}, Took: pimentospread.Duration{Duration: took}}
+	}
+	c := ledger.Caller{Requests: []ledger.Asked{
+		ask(0, time.Second, ledger.Answered), ask(time.Second, time.Second, ledger.Answered),
+		ask(2*time.Second, 3*time.Second, ledger.Answered), ask(2*time.Second, time.Second, ledger.NotRun), ask(9*time.Second, time.Second, ledger.Answered),
+	}}
+	var phases []ledger.Phase
+	for _, text := range []string{"before=0s-2s", "flood=2s-4s", "after=4s-5s"} {
+		p, err := ledger.ParsePhase(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		phases = append(phases, p)
+	}
+	one, three := pimentospread.Duration{Duration: time.Second}, pimentospread.Duration{Duration: 3 * time.Second}
+	want := []ledger.Service{
+		{Phase: "before", Class: "map", Asked: 2, Answered: 2, Share: 1, Median: one, Slowest: one},
+		{Phase: "flood", Class: "map", Asked: 2, Answered: 1, Share: 0.5, Median: three, Slowest: three},
+	}
+	if diff := cmp.Diff(want, ledger.Serve([]ledger.Caller{c}, phases)); diff != "" {
+		t.Error(diff)
+	}
+	for _, text := range []string{"", "flood", "=1s-2s", "flood=2s-1s", "flood=1-2"} {
+		if _, err := ledger.ParsePhase(text); err == nil {
+			t.Errorf("phase %q: got no error", text)
+		}
+	}
+}
--- a/standin/ledger/run.go
+++ b/standin/ledger/run.go
@@ -86,6 +86,8 @@
 	Wrong bool
 	// Contradicted says that a later reply told something else.
 	Contradicted bool
+	// At is the time of the first transmission since the start of the plan.
+	At pimentospread.Duration
 	// Took is the time from the first transmission to the outcome.
 	Took pimentospread.Duration
 }
