--- a/decide/requests_property_test.go
+++ b/decide/requests_property_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"cmp"
-	"flag"
 	"math/rand/v2"
-	"os"
 	"testing"
 	"time"
 
@@ -16,14 +14,6 @@
 	"pimentospread/request"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "20261204")
-	}
-	os.Exit(m.Run())
-}
-
 func buildDecider(c *cell, h *cellHost) node {
 	return decide.NewRequests(decide.RequestsDeps{
 		Self: h.id, Incarnation: h.incarnation, Admission: &queue{limit: 8},
