--- a/decide/requests_property_test.go
+++ b/decide/requests_property_test.go
@@ -150,10 +150,9 @@
 	for _, copies := range []int{1, 4} {
 		c := newCell(storm{Seed: 1, Hosts: 8, Domains: 4, Requests: 400, Copies: copies, Window: 35 * time.Second}, buildDecider)
 		c.weather()
-		if wrong := c.wrongs(); len(wrong) > 0 {
-			t.Error(wrong)
+		if wrong := c.wrongs(); len(wrong) > 0 || c.served() != c.storm.Requests {
+			t.Errorf("whole answers to %d of %d requests; %v", c.served(), c.storm.Requests, wrong)
 		}
-		t.Logf("up to %d copies: whole answers to %d of %d requests, %d control bytes for each of 300 non-idempotent ones",
-			copies, c.served(), c.storm.Requests, c.control/300)
+		t.Logf("up to %d copies: %d control bytes for each of 300 non-idempotent requests", copies, c.control/300)
 	}
 }
--- a/decide/requests_test.go
+++ b/decide/requests_test.go
@@ -7,49 +7,147 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"pimentospread"
 	"pimentospread/decide"
+	"pimentospread/member"
 	"pimentospread/request"
 )
 
 var start = time.Unix(1_800_000_000, 0)
 
-func newDecider(targets int) (*decide.Requests, *decide.RequestActions) {
+// desk is a decider in a cell of three hosts whose peers have told their rosters.
+type desk struct {
+	*decide.Requests
+	decide.RequestActions
+	slots *slots
+}
+
+var self = request.Owner{Host: "a", Incarnation: 2}
+
+func newDesk() *desk {
 	random := rand.New(rand.NewPCG(1, 2))
-	r := decide.NewRequests(decide.RequestsDeps{
-		Self: "a", Incarnation: 1, Admission: &queue{limit: 8}, Placement: newSlots(targets, 1, random),
+	d := &desk{slots: newSlots(2, 1, random)}
+	d.Requests = decide.NewRequests(decide.RequestsDeps{
+		Self: self.Host, Incarnation: self.Incarnation, Admission: &queue{limit: 1}, Placement: d.slots,
 		Random: random, Started: start.Add(-time.Hour),
 	})
-	actions := &decide.RequestActions{}
-	r.Configure(start, deskView(targets), actions)
-	return r, actions
+	view := deskView(2)
+	view.Roster = member.Roster{Version: 1, Hosts: []member.Host{{ID: "a"}, {ID: "b"}, {ID: "c"}}}
+	view.RosterHeld = request.Held{"b": 1, "c": 1}
+	d.Configure(start, view, &d.RequestActions)
+	d.from("b", &request.RostersReply{})
+	d.from("c", &request.RostersReply{})
+	return d
+}
+
+func (d *desk) from(peer pimentospread.HostID, m pimentospread.Message) {
+	d.Peer(start, pimentospread.Inbound{From: peer, Incarnation: 1, Message: m}, &d.RequestActions)
+}
+
+// transfer has a non-idempotent request arrive, and grants it to the holder.
+func (d *desk) transfer(sequence uint64, holder request.Owner) {
+	q := newRequest(1, sequence, start.Add(4*time.Second), false)
+	d.Arrive(start, q, &d.RequestActions)
+	for _, peer := range []pimentospread.HostID{"b", "c"} {
+		d.from(peer, &request.ClaimReply{Request: q.ID, Round: 1, Holder: holder})
+	}
+}
+
+func (d *desk) answer(at time.Duration, attempt int, kind request.AnswerKind, part request.Part) {
+	a := d.Attempts[attempt]
+	d.Answer(start.Add(at), request.Answer{Attempt: a.ID, From: a.Address, Kind: kind, Part: part}, &d.RequestActions)
+}
+
+// Guards against runs and outcomes that the rules of ownership do not allow.
+func TestRequestScenarios(t *testing.T) {
+	cases := map[string]struct {
+		play     func(d *desk)
+		attempts int
+		want     []request.Outcome
+	}{
+		"a grant to an earlier run does not count": {func(d *desk) { d.transfer(1, request.Owner{Host: "a", Incarnation: 1}) }, 0, nil},
+		"the owner repeats its answer for another host": {func(d *desk) {
+			d.transfer(1, self)
+			d.answer(0, 0, request.Done, request.Part{})
+			d.from("b", &request.Inquiry{Request: d.Attempts[0].Request, Origin: request.Origin{Token: []byte("second")}})
+		}, 1, []request.Outcome{request.Answered, request.Answered}},
+		"shed without a budget is not run and stays so": {func(d *desk) {
+			d.slots.budget = 0
+			d.transfer(1, self)
+			d.answer(0, 0, request.Shed, request.Part{})
+			d.transfer(1, self)
+		}, 1, []request.Outcome{request.NotRun, request.NotRun}},
+		"a shed request runs elsewhere": {func(d *desk) {
+			d.transfer(1, self)
+			d.answer(0, 0, request.Shed, request.Part{})
+			d.answer(0, 1, request.Failed, request.Part{})
+		}, 2, []request.Outcome{request.TargetFailed}},
+		"an answer after the deadline is dropped": {func(d *desk) {
+			d.transfer(1, self)
+			d.Tick(start.Add(4*time.Second), &d.RequestActions)
+			d.answer(4*time.Second, 0, request.Done, request.Part{})
+		}, 1, []request.Outcome{request.Unknown}},
+		"a deadline too far ahead is malformed": {func(d *desk) {
+			d.Arrive(start, newRequest(1, 1, start.Add(time.Hour), false), &d.RequestActions)
+		}, 0, []request.Outcome{request.Malformed}},
+		"an expired request may have run elsewhere": {func(d *desk) {
+			d.Arrive(start, newRequest(1, 1, start, false), &d.RequestActions)
+		}, 0, []request.Outcome{request.Unknown}},
+		"a cancelled request is not sent from the queue": {func(d *desk) {
+			for sequence := range uint64(3) {
+				d.transfer(sequence, self)
+			}
+			q := newRequest(1, 2, start.Add(4*time.Second), false)
+			q.Cancelled = true
+			d.Arrive(start, q, &d.RequestActions)
+			d.answer(0, 0, request.Done, request.Part{})
+		}, 2, []request.Outcome{request.Answered}},
+		"an expired request is not sent from the queue": {func(d *desk) {
+			for sequence := range uint64(3) {
+				d.transfer(sequence, self)
+			}
+			d.answer(4*time.Second, 0, request.Done, request.Part{})
+		}, 2, []request.Outcome{request.Answered, request.NotRun}},
+		"a leaving host refuses its queue and does not know what runs": {func(d *desk) {
+			for sequence := range uint64(4) {
+				d.transfer(sequence, self)
+			}
+			d.Close(start, &d.RequestActions)
+		}, 2, []request.Outcome{request.NotRun, request.Unknown, request.Unknown, request.NotRun}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			d := newDesk()
+			c.play(d)
+			var got []request.Outcome
+			for _, r := range d.Replies {
+				got = append(got, r.Outcome)
+			}
+			if diff := cmp.Diff(c.want, got); diff != "" || len(d.Attempts) != c.attempts {
+				t.Errorf("%d attempts, want %d; outcomes (-want +got):\n%s", len(d.Attempts), c.attempts, diff)
+			}
+		})
+	}
 }
 
 // Guards against a truncated answer, and against parts of two runs under one
 // tag when a target is silent and the request is retried.
 func TestIdempotentRetryKeepsRunsApart(t *testing.T) {
-	r, actions := newDecider(2)
-	r.Arrive(start, newRequest(1, 1, start.Add(4*time.Second), true), actions)
-	first := actions.Attempts[0]
+	d := newDesk()
+	d.Arrive(start, newRequest(1, 1, start.Add(4*time.Second), true), &d.RequestActions)
 	part := func(n uint32, more bool) request.Part {
 		return request.Part{Number: n, More: more, Tag: []byte("same"), Payload: []byte{byte(n)}}
 	}
-	r.Answer(start, request.Answer{Attempt: first.ID, From: first.Address, Part: part(0, true)}, actions)
-	r.Tick(start.Add(3*time.Second), actions)
-	second := actions.Attempts[1]
-	actions.Replies = nil
-	now := start.Add(3 * time.Second)
-	for _, a := range []request.Answer{
-		{Attempt: first.ID, From: first.Address, Part: part(1, false)},
-		{Attempt: second.ID, From: first.Address, Part: part(1, false)},
-		{Attempt: second.ID, From: second.Address, Part: part(1, false)},
-		{Attempt: second.ID, From: second.Address, Part: part(1, false)},
-		{Attempt: second.ID, From: second.Address, Part: part(0, true)},
-	} {
-		r.Answer(now, a, actions)
+	d.answer(0, 0, request.Done, part(0, true))
+	d.Tick(start.Add(3*time.Second), &d.RequestActions)
+	d.Replies = nil
+	d.answer(3*time.Second, 0, request.Done, part(1, false))
+	for _, p := range []request.Part{part(1, false), part(1, false), part(0, true)} {
+		d.answer(3*time.Second, 1, request.Done, p)
 	}
 	var numbers []uint32
-	for _, reply := range actions.Replies {
-		if diff := cmp.Diff(actions.Replies[0].Part.Tag, reply.Part.Tag); diff != "" {
+	for _, reply := range d.Replies {
+		if diff := cmp.Diff(d.Replies[0].Part.Tag, reply.Part.Tag); diff != "" {
 			t.Errorf("parts of one run differ in their tag:\n%s", diff)
 		}
 		numbers = append(numbers, reply.Part.Number)
@@ -57,7 +155,7 @@
 	if diff := cmp.Diff([]uint32{1, 0}, numbers); diff != "" {
 		t.Errorf("parts that the caller gets (-want +got):\n%s", diff)
 	}
-	if first.Target == second.Target || !r.Idle() {
-		t.Errorf("retry went to target %d after %d; idle: %t", second.Target, first.Target, r.Idle())
+	if d.Attempts[0].Target == d.Attempts[1].Target || !d.Idle() {
+		t.Errorf("retry went to target %d again, or a slot is still taken", d.Attempts[1].Target)
 	}
 }
