Tell callers the outcome when the grace of a shutdown ends

Cause: requests still open at the end of the grace were cut without a word. Change: the requests duty closes them: what was never sent is refused, what runs is reported unknown; the host waits 200 ms for the replies to leave.

--- a/host/build.go
+++ b/host/build.go
@@ -151,6 +151,7 @@
 		number: number, clock: h.clock, requests: h.receiver.requests, answers: answers, inbound: route.requests,
 		reports: reports, views: views[number], control: h.control, progress: h.progress,
 		attempts: attempts, replies: h.sender.out, ended: ended, peers: h.network,
+		closing: ring.New[struct{}](1, ring.DropOldest),
 		encoder: h.newReplyEncoder(), drops: newDropCounters(h.metrics),
 		decider: engine.NewRequests(engine.RequestsDeps{
 			Self: h.settings.Host, Incarnation: h.incarnation, Started: h.started,
--- a/host/requests.go
+++ b/host/requests.go
@@ -20,18 +20,20 @@
 
 // requester is the duty that decides on requests.
 type requester struct {
-	number    int
-	clock     pimentospread.Clock
-	decider   *engine.Requests
-	requests  *ring.Classed[request.Request]
-	answers   *ring.Ring[request.Answer]
-	inbound   *ring.Ring[pimentospread.Inbound]
-	reports   *ring.Ring[pimentospread.LoadReport]
-	views     *ring.Ring[*decide.View]
-	control   *control.Controller
-	progress  *ring.Ring[progress]
-	attempts  *ring.Ring[targetMessage]
-	replies   *ring.Ring[datagram]
+	number   int
+	clock    pimentospread.Clock
+	decider  *engine.Requests
+	requests *ring.Classed[request.Request]
+	answers  *ring.Ring[request.Answer]
+	inbound  *ring.Ring[pimentospread.Inbound]
+	reports  *ring.Ring[pimentospread.LoadReport]
+	views    *ring.Ring[*decide.View]
+	control  *control.Controller
+	progress *ring.Ring[progress]
+	attempts *ring.Ring[targetMessage]
+	replies  *ring.Ring[datagram]
+	// closing ends what is left when the grace of a shutdown is over.
+	closing   *ring.Ring[struct{}]
 	ended     *ring.Ring[decide.Ended]
 	peers     pimentospread.PeerNetwork
 	encoder   *replyEncoder
@@ -65,6 +67,8 @@
 			r.decider.Report(now, l)
 		case v := <-r.views.Items():
 			r.configure(ctx, v)
+		case <-r.closing.Items():
+			r.decider.Close(r.clock.Now(), &r.actions)
 		case <-ticker.C:
 			now := r.clock.Now()
 			r.recording.tick(ctx, now)
--- a/host/shutdown.go
+++ b/host/shutdown.go
@@ -9,6 +9,9 @@
 // The fabric and the peers take up to two heartbeats to notice that it leaves.
 const lingerTime = 2 * time.Second
 
+// closeTime lets the last replies leave the host after the grace.
+const closeTime = 200 * time.Millisecond
+
 // shutDown tells the cell that the host leaves and waits until the flow shards
 // have handed over their records and no request is in progress. The grace of
 // the settings bounds it.
@@ -32,11 +35,22 @@
 			lingered = true
 		case <-ctx.Done():
 			h.log.Warn("shutdown ended by its grace", "grace", h.settings.ShutdownGrace, "error", ctx.Err())
+			h.closeRequests(ctx)
 			return
 		}
 	}
 }
 
+// closeRequests tells the callers of unfinished requests what is known of them.
+func (h *Host) closeRequests(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTime)
+	defer cancel()
+	if err := h.requester.closing.Put(ctx, struct{}{}); err != nil {
+		return
+	}
+	<-ctx.Done()
+}
+
 func (h *Host) allDone(done map[int]bool) bool {
 	for i := range len(h.shards) + 1 {
 		if !done[i] {
