Encode messages between hosts as arrays

Cause: field names were most of the bytes of a claim. Names in the settings and objects stay as they are.

--- a/decide/requests_cell_test.go
+++ b/decide/requests_cell_test.go
@@ -1,7 +1,6 @@
 package decide_test
 
 import (
-	"bytes"
 	"cmp"
 	"container/heap"
 	"fmt"
@@ -10,11 +9,10 @@
 	"strconv"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"pimentospread"
 	"pimentospread/decide"
 	"pimentospread/member"
+	"pimentospread/peer"
 	"pimentospread/request"
 )
 
@@ -318,12 +316,9 @@
 }
 
 func frameSize(in pimentospread.Inbound) int {
-	var b bytes.Buffer
-	_ = msgpack.NewEncoder(&b).Encode(struct {
-		From        pimentospread.HostID
-		Incarnation pimentospread.Incarnation
-		Kind        pimentospread.MessageKind
-		Body        pimentospread.Message
-	}{in.From, in.Incarnation, in.Message.MessageKind(), in.Message})
-	return 4 + b.Len()
+	frame, err := peer.Encode(in.From, in.Incarnation, in.Message)
+	if err != nil {
+		panic(err)
+	}
+	return len(frame)
 }
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bytes"
 	"encoding/binary"
 	"io"
 
@@ -43,7 +44,7 @@
 
 // Encode returns the frame of a message.
 func Encode(from pimentospread.HostID, incarnation pimentospread.Incarnation, m pimentospread.Message) ([]byte, error) {
-	body, err := msgpack.Marshal(m)
+	body, err := marshal(m)
 	if err != nil {
 		return nil, pimentospread.At(pimentospread.ErrInvalid.Wrap(err, "message %s cannot be encoded", m.MessageKind()), "encode", "")
 	}
@@ -59,6 +60,19 @@
 	return append(frame, data...), nil
 }
 
+// marshal encodes structs as arrays. Field names would be most of the bytes of
+// a claim, and the control traffic of a host is bounded.
+func marshal(m pimentospread.Message) ([]byte, error) {
+	var buffer bytes.Buffer
+	e := msgpack.NewEncoder(&buffer)
+	e.UseArrayEncodedStructs(true)
+	e.UseCompactInts(true)
+	if err := e.Encode(m); err != nil {
+		return nil, err
+	}
+	return buffer.Bytes(), nil
+}
+
 // readFrame returns the content of the next frame. An error without a cause
 // comes from the connection.
 func readFrame(r io.Reader, buffer []byte) ([]byte, Cause, error) {
