Count what the rings of requests and messages refuse

Cause: /metrics showed the refusals of the rings for packets, answers, the send duty and the burn report, but not those in front of the requests duty and for messages of peers. Work lost there was not counted anywhere. Change: pimentospread_ring_refused has each rank of the requests ring and the message rings of the duties. A demo that failed no longer keeps its programs. Checked with make lint and the build; go vet of host has no finding. Conclusion: an overflow of these rings is visible.

--- a/host/build.go
+++ b/host/build.go
@@ -92,8 +92,12 @@
 		requests: ring.New[pimentospread.Inbound](capacity, ring.Refuse),
 		claims:   map[pimentospread.MessageKind]bool{},
 	}
-	for range h.settings.FlowShards {
-		r.flows = append(r.flows, ring.New[pimentospread.Inbound](capacity, ring.Refuse))
+	h.countRefusals("control messages", r.control.Refused)
+	h.countRefusals("request messages", r.requests.Refused)
+	for i := range h.settings.FlowShards {
+		messages := ring.New[pimentospread.Inbound](capacity, ring.Refuse)
+		h.countRefusals("flow messages "+strconv.Itoa(i), messages.Refused)
+		r.flows = append(r.flows, messages)
 	}
 	for _, kind := range claimKinds {
 		r.claims[kind] = true
@@ -129,6 +133,9 @@
 		})
 	}
 	requests := ring.NewClassed[request.Request](requestRanks, capacity)
+	for rank := range requests.Ranks() {
+		h.countRefusals("requests "+strconv.Itoa(rank), func() uint64 { return requests.Refused(rank) })
+	}
 	h.receiver = &receiver{
 		fabric: h.sockets.data, shards: h.shards, requests: requests, out: out, log: h.log, metrics: h.metrics,
 		views: ring.New[*decide.View](viewCapacity, ring.DropOldest), encoder: h.newReplyEncoder(),
--- a/scripts/cell.sh
+++ b/scripts/cell.sh
@@ -37,6 +37,7 @@
   done
   for pid in $(jobs -pr); do kill -KILL "$pid" 2>/dev/null || true; done
   wait 2>/dev/null || true
+  rm -rf "$RUN/bin"
   if [ "$status" = 0 ] && [ -z "${KEEP:-}" ]; then rm -rf "$RUN"; else log "logs and ledgers are in $RUN"; fi
   exit "$status"
 }
