--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 LINT := bin/golangci-lint
 
-.PHONY: build test lint bench capacity demo
+.PHONY: build test lint bench capacity demo demo-office
 
 build:
 	go build -o bin/ ./cmd/...
@@ -32,3 +32,6 @@
 
 demo:
 	scripts/demo.sh
+
+demo-office:
+	scripts/demo-office.sh
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -11,7 +11,9 @@
 
 	"github.com/urfave/cli/v3"
 
+	"pimentospread"
 	"pimentospread/standin/caller"
+	"pimentospread/standin/cell"
 	"pimentospread/standin/fabric"
 	"pimentospread/standin/ledger"
 	"pimentospread/standin/loopback"
@@ -20,13 +22,8 @@
 )
 
 func main() {
-	signals, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	// The cause of a context that a signal ends is an error that names the
-	// signal. A signal is an ordinary stop here, so it becomes a plain cancellation.
-	ctx, cancel := context.WithCancel(context.WithoutCancel(signals))
-	defer cancel()
-	context.AfterFunc(signals, cancel)
 	root := &cli.Command{
 		Name:      "standin",
 		Usage:     "stand-ins for demos and tests, on loopback only",
@@ -39,11 +36,14 @@
 			target.SetCommand(),
 			caller.Command(),
 			ledger.Command(),
-			loopback.PortsCommand(),
+			cell.SettingsCommand(),
+			cell.RosterCommand(),
+			loopback.CallCommand(),
+			loopback.ShowCommand(),
 		},
 	}
 	if err := root.Run(ctx, os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, err)
+		fmt.Fprintln(os.Stderr, "standin:", pimentospread.Text(err))
 		os.Exit(1)
 	}
 }
--- a/decide/flows.go
+++ b/decide/flows.go
@@ -1,6 +1,7 @@
 package decide
 
 import (
+	"maps"
 	"time"
 
 	"pimentospread"
@@ -11,12 +12,18 @@
 const (
 	// secondsAtStart leaves room for records that are older than the shard.
 	secondsAtStart = 1 << 20
-	// pauseAfter without a tick means that the host may have missed what its peers did.
-	pauseAfter = 2 * time.Second
+	// pauseAfter without a tick means that the host may have missed what its
+	// peers did. They take it for dead 2 s after its last heartbeat, which may
+	// have been 500 ms before the pause.
+	pauseAfter = time.Second
+	// cautionAfterPause is the time in which every live peer is heard again.
+	cautionAfterPause = 2 * time.Second
 	// cautionAfterStart is the time in which a new host hears of suspended targets.
 	cautionAfterStart = time.Second
-	defaultMaxFlows   = 1 << 20
-	defaultMaxHeld    = 2048
+	// synRepeats is the time in which a caller repeats a SYN three times, after 1, 3 and 7 s.
+	synRepeats      = 8 * time.Second
+	defaultMaxFlows = 1 << 20
+	defaultMaxHeld  = 2048
 )
 
 // FlowsDeps is what a flow shard is made of.
@@ -66,8 +73,12 @@
 	start     time.Time
 	ticked    time.Time
 	// cautiousUntil is the time until which every bucket counts as changed.
-	cautiousUntil time.Time
-	leaving       bool
+	// pausedUntil is the same after a pause, when the host takes no new flow: the
+	// peers may have activated a release without it.
+	cautiousUntil, pausedUntil time.Time
+	// unsettledUntil is the time until which a repeated SYN may have gone by an earlier view.
+	unsettledUntil time.Time
+	leaving        bool
 	// spill stands in for an entry of a full flow table.
 	spill flow.Entry
 }
@@ -104,6 +115,9 @@
 	f.holders = newHolders(v.Self, v.Live)
 	f.silence.within, f.walk.idle = longest(v)
 	newlySuspended := f.suspend(now)
+	if !v.Active || !old.steersLike(v) {
+		f.unsettledUntil = now.Add(synRepeats)
+	}
 	if v.Active {
 		f.active = make(map[pimentospread.ServiceID]*pool.Table, len(v.Services))
 		for id, s := range v.Services {
@@ -145,7 +159,7 @@
 }
 
 // Tick does what is due. The duty calls it every few milliseconds; a gap of
-// two seconds counts as a pause of the host.
+// one second counts as a pause of the host.
 func (f *Flows) Tick(now time.Time, a *FlowActions) {
 	if f.view == nil {
 		return
@@ -190,6 +204,12 @@
 	return s
 }
 
+// steersLike reports whether new flows go to the same targets by both views.
+func (v *View) steersLike(o *View) bool {
+	return v != nil && v.Active == o.Active && v.Generation() == o.Generation() &&
+		maps.Equal(v.Flagged, o.Flagged) && maps.Equal(v.Avoided, o.Avoided)
+}
+
 func (f *Flows) begin(now time.Time) {
 	f.start, f.ticked = now, now
 	f.cautiousUntil = now.Add(cautionAfterStart)
@@ -198,7 +218,8 @@
 func (f *Flows) noticePause(now time.Time) {
 	if now.Sub(f.ticked) > pauseAfter {
 		f.ticked = now
-		f.cautiousUntil = now.Add(pauseAfter)
+		f.cautiousUntil = now.Add(cautionAfterPause)
+		f.pausedUntil = f.cautiousUntil
 	}
 }
 
--- a/decide/requests_cell_test.go
+++ b/decide/requests_cell_test.go
@@ -1,7 +1,6 @@
 package decide_test
 
 import (
-	"bytes"
 	"cmp"
 	"container/heap"
 	"fmt"
@@ -10,11 +9,10 @@
 	"strconv"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"pimentospread"
 	"pimentospread/decide"
 	"pimentospread/member"
+	"pimentospread/peer"
 	"pimentospread/request"
 )
 
@@ -220,7 +218,7 @@
 		}
 		h.heard[in.From] = c.now
 		h.view.RosterHeld[in.From] = max(h.view.RosterHeld[in.From], b.roster)
-		if b.roster > h.view.Roster.Version {
+		if b.roster > h.view.Roster.Version && !c.storm.Deaf {
 			c.after(time.Duration(c.random.IntN(2000))*time.Millisecond, func() { c.learn(h, b.roster) })
 		}
 	})
@@ -318,12 +316,9 @@
 }
 
 func frameSize(in pimentospread.Inbound) int {
-	var b bytes.Buffer
-	_ = msgpack.NewEncoder(&b).Encode(struct {
-		From        pimentospread.HostID
-		Incarnation pimentospread.Incarnation
-		Kind        pimentospread.MessageKind
-		Body        pimentospread.Message
-	}{in.From, in.Incarnation, in.Message.MessageKind(), in.Message})
-	return 4 + b.Len()
+	frame, err := peer.Encode(in.From, in.Incarnation, in.Message)
+	if err != nil {
+		panic(err)
+	}
+	return len(frame)
 }
--- a/host/build.go
+++ b/host/build.go
@@ -92,10 +92,14 @@
 		requests: ring.New[pimentospread.Inbound](capacity, ring.Refuse),
 		claims:   map[pimentospread.MessageKind]bool{},
 	}
-	for range h.settings.FlowShards {
-		r.flows = append(r.flows, ring.New[pimentospread.Inbound](capacity, ring.Refuse))
+	h.countRefusals("control messages", r.control.Refused)
+	h.countRefusals("request messages", r.requests.Refused)
+	for i := range h.settings.FlowShards {
+		messages := ring.New[pimentospread.Inbound](capacity, ring.Refuse)
+		h.countRefusals("flow messages "+strconv.Itoa(i), messages.Refused)
+		r.flows = append(r.flows, messages)
 	}
-	for _, kind := range claimKinds {
+	for _, kind := range request.Kinds() {
 		r.claims[kind] = true
 	}
 	return r
@@ -129,6 +133,9 @@
 		})
 	}
 	requests := ring.NewClassed[request.Request](requestRanks, capacity)
+	for rank := range requests.Ranks() {
+		h.countRefusals("requests "+strconv.Itoa(rank), func() uint64 { return requests.Refused(rank) })
+	}
 	h.receiver = &receiver{
 		fabric: h.sockets.data, shards: h.shards, requests: requests, out: out, log: h.log, metrics: h.metrics,
 		views: ring.New[*decide.View](viewCapacity, ring.DropOldest), encoder: h.newReplyEncoder(),
@@ -151,6 +158,7 @@
 		number: number, clock: h.clock, requests: h.receiver.requests, answers: answers, inbound: route.requests,
 		reports: reports, views: views[number], control: h.control, progress: h.progress,
 		attempts: attempts, replies: h.sender.out, ended: ended, peers: h.network,
+		closing: ring.New[struct{}](1, ring.DropOldest),
 		encoder: h.newReplyEncoder(), drops: newDropCounters(h.metrics),
 		decider: engine.NewRequests(engine.RequestsDeps{
 			Self: h.settings.Host, Incarnation: h.incarnation, Started: h.started,
