--- a/capacity/finding.go
+++ b/capacity/finding.go
@@ -139,7 +139,7 @@
 		{"2 Relay: decode and pack", pack, Seconds, 0, "the watch returns at once"},
 		{"3 Other hosts: fetch and unpack", unpack, Seconds, 0, "processor time"},
 		{"4 Heartbeats until all hosts are prepared and active", spread, Seconds, 0, "CellChange, fake clock, 500 ms between heartbeats"},
-		{"5a Build tables, one pool of 8 targets for each address", many, Seconds, 0, "21 pools of 8 targets with 32 epochs each, which they reach within days"},
+		{"5a Build tables, one pool of 8 targets for each address", many, Seconds, 0, "TableTargets x 21 pools x 32 epochs, which each reaches within days"},
 		{"5b Build tables, one pool of 160 targets with 32 epochs", one, Seconds, 0, "TableEpochs; one core, nothing else to do"},
 		{"In force, one pool for each address", steps + many, Seconds, m.Limits.InForce.Seconds(), "steps 1 to 4 and 5a"},
 		{"In force, one pool of 160 targets", steps + one, Seconds, m.Limits.InForce.Seconds(), "steps 1 to 4 and 5b"},
@@ -150,11 +150,9 @@
 // builds returns the processor time to build the tables of a cell whose pools
 // have as many epochs as are kept: with one pool, and with one pool for each address.
 func (m *Model) builds() (one, many float64) {
-	first := m.at("TableEpochs", "cpu-ns/table", 1)
-	factor := m.at("TableEpochs", "cpu-ns/table", float64(m.Design.Epochs)) / max(first, 1)
-	one = m.at("TableTargets", "cpu-ns/table", m.Cell.Targets) * factor / 1e9
-	small := m.at("TableTargets", "cpu-ns/table", m.poolTargets()) / 1e9
-	many = small * m.Cell.Addresses * factor
+	epochs := float64(m.Design.Epochs)
+	one = m.at("TableEpochs", "cpu-ns/table", epochs) / 1e9
+	many = m.at("TableTargets", "cpu-ns/table", m.poolTargets()) / 1e9 * m.Cell.Addresses * epochs
 	return one, many
 }
 
@@ -201,6 +199,7 @@
 	epochs := (float64(l.Value) - m.at("ReleaseEpochs", "json-B", 1)) / max(m.perUnit("ReleaseEpochs", "json-B"), 1)
 	return []Finding{
 		{"Control traffic of a quiet host", float64(m.Total(Always).Traffic), BytesEach, traffic, "sum of the roles, probes in both directions, messages sent"},
+		{"The same without the headers of TCP and IP", float64(m.Total(Always).Traffic) - m.quietHeaders(), BytesEach, traffic, "what the messages themselves take"},
 		{"Control traffic with 100 claims a second of the cell (assumed)", float64(m.Total(Claims).Traffic), BytesEach, traffic, "sum of the roles"},
 		{"Control traffic in a drain, flow at one host", float64(m.Total(Drain).Traffic), BytesEach, traffic, "sum of the roles"},
 		{"Control traffic in a drain, flow at all hosts", float64(m.Total(Spray).Traffic), BytesEach, traffic, "sum of the roles"},
@@ -221,6 +220,12 @@
 	}
 }
 
+// quietHeaders is what the headers of heartbeats and probes take at a quiet host.
+func (m *Model) quietHeaders() float64 {
+	hosts := float64(m.Cell.Hosts)
+	return headers*m.at("CellQuiet", "messages/host-s", hosts) + probeHeaders*m.at("CellQuiet", "probes/host-s", hosts)
+}
+
 // claims returns how many claims of a cell the traffic of each host carries.
 func (m *Model) claims(traffic float64) float64 {
 	hosts := float64(m.Cell.Hosts)
--- a/capacity/release_test.go
+++ b/capacity/release_test.go
@@ -34,7 +34,7 @@
 
 // BenchmarkTableEpochs derives the table of 160 targets.
 func BenchmarkTableEpochs(b *testing.B) {
-	for _, n := range []int{1, 4, 16} {
+	for _, n := range []int{1, 4, 16, 32} {
 		b.Run(fmt.Sprintf("epochs=%d", n), func(b *testing.B) {
 			benchmarkTable(b, drained(objects(1, 1, 160), n))
 		})
--- a/capacity/requests_test.go
+++ b/capacity/requests_test.go
@@ -141,6 +141,9 @@
 					v := view(publish(nil, objects(1, 1, 1)), 0, 16)
 					e := request.NewElector(v.Self, began.Add(-time.Hour))
 					e.Configure(began, v.Roster, v.PreviousRoster, v.RosterHeld, 10*time.Second)
+					for _, peer := range e.Untold() {
+						e.Learn(began, peer, nil)
+					}
 					m.start()
 					for i := range n {
 						id := pimentospread.RequestID{Caller: 7, Sequence: uint64(i)}
