Make the fake cell lossy and some of its calls quiet

Cause: the property tests missed most deliberate faults, because every host soon knew every flow and no SYN was ever repeated. Change: one packet in 15 is lost, every other call sends only every 4 to 5 s, peers hear of changes within 50 or 500 ms, and changes lie up to 9 s apart. 80 checks run instead of 30.

--- a/decide/call_test.go
+++ b/decide/call_test.go
@@ -26,7 +26,8 @@
 func (c *cell) talk(n int, k *call) {
 	next := time.Second
 	if k.established {
-		next = 50*time.Millisecond + c.delay(1500*time.Millisecond)
+		// Every other call is quiet, so that few hosts know it.
+		next = time.Duration(1+3*(n/2%2))*time.Second + c.delay(time.Second)
 	}
 	p := k.packet
 	p.SYN = !k.established
@@ -46,6 +47,9 @@
 		raw = append(raw, 1)
 	}
 	for range copies {
+		if c.rng.IntN(lossOneIn) == 0 {
+			continue
+		}
 		var ready []*fakeHost
 		for _, h := range c.hosts {
 			if h.ready {
@@ -119,7 +123,7 @@
 			before[k] = k.reached
 		}
 	}
-	c.run(6 * time.Second)
+	c.run(25 * time.Second)
 	o := outcome{Foreign: c.foreign}
 	for _, k := range c.calls {
 		if _, ok := c.newest().Services[k.packet.Service].Table.Target(k.target); !k.established || !ok {
--- a/decide/cell_test.go
+++ b/decide/cell_test.go
@@ -24,6 +24,8 @@
 	// maxDelay is the longest way of a packet or message.
 	maxDelay = 30 * time.Millisecond
 	deadTime = 2 * time.Second
+	// lossOneIn packets are lost, so that callers repeat the SYN.
+	lossOneIn = 15
 )
 
 // steerer is what a cell drives: Flows, or a baseline without records.
@@ -39,7 +41,9 @@
 
 // cell is a fake of hosts, message network, callers and targets under one clock.
 type cell struct {
-	rng      *rand.Rand
+	rng *rand.Rand
+	// beat is the longest time until a peer hears of a change at a host.
+	beat     time.Duration
 	now      time.Time
 	events   eventHeap
 	sequence int
@@ -97,7 +101,7 @@
 func (h *eventHeap) Pop() any     { old := *h; x := old[len(old)-1]; *h = old[:len(old)-1]; return x }
 
 func newCell(seed uint64, hosts int, newHost func() steerer) *cell {
-	c := &cell{rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_000_000, 0), newHost: newHost, flagged: map[pimentospread.TargetID]bool{}, nextID: 1}
+	c := &cell{rng: rand.New(rand.NewPCG(seed, 1)), beat: []time.Duration{50 * time.Millisecond, 500 * time.Millisecond}[seed%2], now: time.Unix(1_000_000, 0), newHost: newHost, flagged: map[pimentospread.TargetID]bool{}, nextID: 1}
 	pools := []pool.Pool{{Name: "first"}, {Name: "second"}}
 	for i, n := range []int{5, 3} {
 		for range n {
@@ -208,7 +212,7 @@
 	for _, o := range c.hosts {
 		if o.up && !o.leaving {
 			h.live[o], h.prepared[o] = true, o.view.Generation()
-			c.at(c.delay(500*time.Millisecond), o, func() { o.live[h] = true; c.configure(o) })
+			c.at(c.delay(c.beat), o, func() { o.live[h] = true; c.configure(o) })
 		}
 	}
 	c.configure(h)
@@ -230,7 +234,7 @@
 
 func (c *cell) forgetHost(h *fakeHost, after time.Duration) {
 	for _, o := range c.hosts {
-		c.at(after+c.delay(500*time.Millisecond), o, func() { delete(o.live, h); c.configure(o) })
+		c.at(after+c.delay(c.beat), o, func() { delete(o.live, h); c.configure(o) })
 	}
 }
 
@@ -240,7 +244,7 @@
 		for _, o := range c.hosts {
 			if o != h {
 				c.at(deadTime+c.delay(200*time.Millisecond), o, func() { delete(o.live, h); c.configure(o) })
-				c.at(d+c.delay(500*time.Millisecond), o, func() { o.live[h] = h.up && !h.leaving; c.configure(o) })
+				c.at(d+c.delay(c.beat), o, func() { o.live[h] = h.up && !h.leaving; c.configure(o) })
 			}
 		}
 	}
@@ -298,7 +302,7 @@
 		if o == h {
 			continue
 		}
-		c.at(c.delay(500*time.Millisecond), o, func() {
+		c.at(c.delay(c.beat), o, func() {
 			if o.prepared[h] < g || len(o.flags[h]) != len(flags) {
 				o.prepared[h], o.flags[h] = max(o.prepared[h], g), flags
 				c.configure(o)
@@ -311,7 +315,7 @@
 func (c *cell) flag(flags map[pimentospread.TargetID]bool) {
 	c.flagged = flags
 	for _, h := range c.hosts {
-		c.at(c.delay(500*time.Millisecond), h, func() { c.configure(h) })
+		c.at(c.delay(c.beat), h, func() { c.configure(h) })
 	}
 }
 
--- a/decide/flows_test.go
+++ b/decide/flows_test.go
@@ -102,7 +102,7 @@
 		for range rapid.IntRange(2, 8).Draw(t, "changes") {
 			c.perform(rapid.SampledFrom(changes).Draw(t, "change"), rapid.IntRange(0, 9999).Draw(t, "which"))
 			c.dialMany(20)
-			c.run(time.Duration(rapid.IntRange(1, 4000).Draw(t, "milliseconds")) * time.Millisecond)
+			c.run(time.Duration(rapid.IntRange(1, 9000).Draw(t, "milliseconds")) * time.Millisecond)
 		}
 		got := c.outcome()
 		if diff := cmp.Diff(outcome{Established: got.Established}, got); diff != "" || got.Established < 60 {
@@ -119,7 +119,7 @@
 		c.perform(before, rapid.IntRange(0, 9999).Draw(t, "which"))
 		c.perform("target drains", rapid.IntRange(0, 9999).Draw(t, "target"))
 		c.dialMany(60)
-		c.run(time.Duration(rapid.IntRange(1, 4000).Draw(t, "milliseconds")) * time.Millisecond)
+		c.run(time.Duration(rapid.IntRange(1, 9000).Draw(t, "milliseconds")) * time.Millisecond)
 		c.perform("host dies", rapid.IntRange(0, 6).Draw(t, "host"))
 		c.dialMany(20)
 		c.run(3 * time.Second)
--- a/decide/load_test.go
+++ b/decide/load_test.go
@@ -168,11 +168,10 @@
 // 2 KB/s for heartbeats, which are 14 a second of up to 140 bytes.
 func TestControlTrafficDuringDrain(t *testing.T) {
 	const bound = 9000
-	for _, moving := range []float64{0, 0.01, 0.1, 1} {
-		t.Logf("%3.0f%% of the flows move to another host: %d bytes a second", 100*moving, drain(moving))
-	}
 	if got := drain(0); got > bound {
 		t.Errorf("a host sends %d bytes a second, bound %d", got, bound)
+	} else {
+		t.Logf("%d bytes a second without heartbeats; %d when a tenth of the flows move to another host", got, drain(0.1))
 	}
 }
 
--- a/decide/main_test.go
+++ b/decide/main_test.go
@@ -14,7 +14,7 @@
 	given := false
 	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
 	if !given {
-		if err := errors.Join(flag.Set("rapid.seed", "1"), flag.Set("rapid.checks", "30")); err != nil {
+		if err := errors.Join(flag.Set("rapid.seed", "1"), flag.Set("rapid.checks", "80")); err != nil {
 			panic(err)
 		}
 	}
