--- a/trace/event.go
+++ b/trace/event.go
@@ -3,6 +3,7 @@
 package trace
 
 import (
+	"encoding/json"
 	"net/netip"
 	"time"
 
@@ -59,12 +60,13 @@
 	At     time.Time              `json:"At"`
 }
 
-// Peer is a message of another host as it was received.
+// Peer is a message of another host. It is kept as JSON, so that a stored trace
+// outlives a change of the encoding between hosts.
 type Peer struct {
 	From        pimentospread.HostID      `json:"From"`
 	Incarnation pimentospread.Incarnation `json:"Incarnation"`
-	// Frame is the encoded message.
-	Frame []byte `json:"Frame"`
+	Kind        pimentospread.MessageKind `json:"Kind"`
+	Body        json.RawMessage           `json:"Body"`
 }
 
 // View is a decide.View without what follows from the release.
