--- a/scripts/record-trace.sh
+++ b/scripts/record-trace.sh
@@ -4,6 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
+go build -o bin/ ./cmd/...
 FOLDER=traces/trust-kill-drain-stop
 RECORDED=$(mktemp -d)
 trap 'rm -rf "$RECORDED"' EXIT
