List every unreadable field of settings and changes with its path

Cause: settings and the body of a change still stopped at the first unknown field or unreadable value, without a path; only object sets listed all. Change: the decoding of object sets moved to the package strict, and settings and changes use it. Two cases of settings.TestDecode expected an error for an unknown field and for a number without a unit; they now expect the fault with its exact path and text, and new cases expect an error for what is not JSON. Conclusion: all that operators write is read in one way.

--- a/operator/server.go
+++ b/operator/server.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"crypto/subtle"
-	"encoding/json"
 	"io"
 	"log/slog"
 	"net"
@@ -19,6 +18,7 @@
 	"pimentospread/member"
 	"pimentospread/publish"
 	"pimentospread/release"
+	"pimentospread/strict"
 )
 
 const (
@@ -174,13 +174,20 @@
 		writeProblem(w, pimentospread.At(pimentospread.ErrRefused.New("a change needs the administration token"), "authorize", r.RemoteAddr))
 		return
 	}
-	var c publish.Change
-	d := json.NewDecoder(r.Body)
-	d.DisallowUnknownFields()
-	if err := d.Decode(&c); err != nil {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
 		writeProblem(w, unreadable(err))
 		return
 	}
+	var c publish.Change
+	faults, err := strict.Decode(body, &c)
+	if err == nil && len(faults) > 0 {
+		err = publish.Invalid(faults)
+	}
+	if err != nil {
+		writeProblem(w, err)
+		return
+	}
 	published, err := s.deps.Publisher.Publish(r.Context(), c)
 	if err != nil {
 		s.deps.Log.Warn("change refused", "publisher", c.Publisher, "peer", r.RemoteAddr, "error", err, "faults", pimentospread.FaultsOf(err))
@@ -205,5 +212,5 @@
 }
 
 func unreadable(err error) error {
-	return pimentospread.At(pimentospread.ErrInvalid.Wrap(err, "the body is not valid"), "decode", "")
+	return pimentospread.At(pimentospread.ErrInvalid.Wrap(err, "the body cannot be read"), "decode", "")
 }
--- a/settings/check.go
+++ b/settings/check.go
@@ -1,14 +1,13 @@
 package settings
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
 	"log/slog"
 	"net/netip"
 	"net/url"
 
 	"pimentospread"
+	"pimentospread/strict"
 )
 
 const (
@@ -20,12 +19,21 @@
 // returns every fault of the values at once.
 func Decode(data []byte) (Settings, []pimentospread.Fault, error) {
 	s := DefaultSettings()
-	d := json.NewDecoder(bytes.NewReader(data))
-	d.DisallowUnknownFields()
-	if err := d.Decode(&s); err != nil {
-		return Settings{}, nil, pimentospread.At(pimentospread.ErrInvalid.Wrap(err, "settings are not valid"), "decode", "")
+	faults, err := strict.Decode(data, &s)
+	if err != nil {
+		return Settings{}, nil, err
 	}
-	return s, s.Check(), nil
+	unreadable := map[string]bool{}
+	for _, f := range faults {
+		unreadable[f.Path] = true
+	}
+	for _, f := range s.Check() {
+		// A value that could not be read is missing; that is no second fault.
+		if !unreadable[f.Path] {
+			faults = append(faults, f)
+		}
+	}
+	return s, faults, nil
 }
 
 // Check returns every fault of the settings.
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -22,8 +22,14 @@
 		invalid bool
 	}{
 		"sound":                 {text: sound + `}`},
-		"unknown field":         {text: sound + `,"Hots":"x"}`, invalid: true},
-		"number without a unit": {text: sound + `,"ShutdownGrace":30}`, invalid: true},
+		"unknown field":         {text: sound + `,"Hots":"x"}`, faults: []string{"Hots: is not a known field"}},
+		"number without a unit": {text: sound + `,"ShutdownGrace":30}`, faults: []string{`ShutdownGrace: number does not fit, must be a text with a unit, such as "10s"`}},
+		"not JSON":              {text: sound, invalid: true},
+		"more than one value":   {text: sound + `}{}`, invalid: true},
+		"unreadable and wrong": {text: sound + `,"PeerAddress":"x","Seeds":[{"Host":1}],"FlowShards":0}`, faults: []string{
+			"PeerAddress: not an ip:port", "Seeds[0].Host: number does not fit, must be a text",
+			"Seeds[0].PeerAddress: is not an address with a port", "FlowShards: is 0, must be between 1 and 64",
+		}},
 		"every fault at once": {
 			text: `{"FlowShards":0,"ProbeTimeout":"0s","LogLevel":"loud","AdminAddress":"192.0.2.1:80"}`,
 			faults: []string{
