--- a/pool/previous.go
+++ b/pool/previous.go
@@ -1,15 +1,17 @@
 package pool
 
+import "slices"
+
 // WithPrevious returns the table with the old table's choices for new flows as
 // Previous. A host that goes from one release to a later one and skips those
 // between sends new flows by the release that it has activated, until every
 // live host has the later one.
 func (t *Table) WithPrevious(old *Table) *Table {
-	next := &Table{choices: make([]Choice, len(t.choices)), targets: t.targets}
-	copy(next.choices, t.choices)
+	next := *t
+	next.choices = slices.Clone(t.choices)
 	if old == nil || len(old.choices) > len(next.choices) {
 		// A bucket of the smaller table covers several of the old one.
-		return next
+		return &next
 	}
 	mask := len(old.choices) - 1
 	for i := range next.choices {
@@ -18,5 +20,5 @@
 			next.choices[i].Previous = c
 		}
 	}
-	return next
+	return &next
 }
--- a/pool/previous_test.go
+++ b/pool/previous_test.go
@@ -1,6 +1,7 @@
 package pool_test
 
 import (
+	"net/netip"
 	"testing"
 
 	"pimentospread"
@@ -34,3 +35,18 @@
 		t.Error("previous target does not exist any more")
 	}
 }
+
+// Guards against a table that loses the addresses of its targets when it takes
+// over earlier choices: hosts then drop every packet after the second release.
+func TestWithPreviousKeepsTheRestOfTheTable(t *testing.T) {
+	address := netip.MustParseAddrPort("127.0.0.1:4789")
+	p := pool.Pool{Name: "p", Targets: []pool.Target{{ID: 1, FlowAddress: address}, {ID: 2, FlowAddress: address}}}
+	p.Epochs = []pool.Epoch{{Members: []pimentospread.TargetID{1, 2}}}
+	table := pool.NewTable(p, 1).WithPrevious(pool.NewTable(p, 1))
+	if got, ok := table.Address(1); !ok || got != address {
+		t.Errorf("address %s, want %s", got, address)
+	}
+	if got := table.Without(7, map[pimentospread.TargetID]bool{1: true}); got != 2 {
+		t.Errorf("target %d without target 1, want 2", got)
+	}
+}
