Correct what operators see of hosts, policies and requests

Cause: status showed a dead host as ready, log lines had the generation twice, timeouts below one second counted as none, and the outcomes of requests were not in the metrics. Change: readiness needs a living host; the handler alone adds the generation; IdleTimeout, SilenceAfter, ColdStart and MaxLifetime are at least 1 s; requests are counted by service, class and outcome. The setting ProbeInterval has no effect yet.

--- a/control/controller.go
+++ b/control/controller.go
@@ -199,15 +199,15 @@
 	}
 	for _, n := range a.Anomalies {
 		c.deps.Metrics.Counter(fmt.Sprintf("control_anomalies_total{kind=%q}", n)).Add(1)
-		c.deps.Log.Warn("anomaly", "kind", n, "generation", c.latest.Load().Generation())
+		c.deps.Log.Warn("anomaly", "kind", n)
 	}
 }
 
 func (c *Controller) show(ctx context.Context, v *decide.View) {
-	if last := c.latest.Load(); last.Generation() != v.Generation() || last.Active != v.Active || last.Ready != v.Ready {
-		c.deps.Log.Info("view changed", "generation", v.Generation(), "active", v.Active, "ready", v.Ready, "live", len(v.Live))
+	last := c.latest.Swap(v)
+	if last.Generation() != v.Generation() || last.Active != v.Active || last.Ready != v.Ready {
+		c.deps.Log.Info("view changed", "active", v.Active, "ready", v.Ready, "live", len(v.Live))
 	}
-	c.latest.Store(v)
 	for _, r := range c.deps.Views {
 		_ = r.Put(ctx, v)
 	}
--- a/control/status.go
+++ b/control/status.go
@@ -41,9 +41,10 @@
 		}},
 	}
 	for _, p := range c.members.Peers() {
+		alive := p.Alive(now)
 		s.Hosts = append(s.Hosts, member.HostStatus{
 			Host: p.Host.ID, FailureDomain: p.Host.FailureDomain, AdminAddress: p.Host.AdminAddress,
-			Alive: p.Alive(now), Ready: p.Heartbeat.Ready, Leaving: p.Heartbeat.Leaving,
+			Alive: alive, Ready: alive && p.Heartbeat.Ready, Leaving: p.Heartbeat.Leaving,
 			Prepared: p.Heartbeat.Prepared, Active: p.Heartbeat.Active, HeardAt: p.Heard,
 		})
 	}
--- a/host/build.go
+++ b/host/build.go
@@ -159,7 +159,7 @@
 		reports: reports, views: views[number], control: h.control, progress: h.progress,
 		attempts: attempts, replies: h.sender.out, ended: ended, peers: h.network,
 		closing: ring.New[struct{}](1, ring.DropOldest),
-		encoder: h.newReplyEncoder(), drops: newDropCounters(h.metrics),
+		encoder: h.newReplyEncoder(), drops: newDropCounters(h.metrics), outcomes: newOutcomeCounters(h.metrics),
 		decider: engine.NewRequests(engine.RequestsDeps{
 			Self: h.settings.Host, Incarnation: h.incarnation, Started: h.started,
 			Seed: h.seed, Metrics: h.metrics,
--- a/host/requests.go
+++ b/host/requests.go
@@ -18,6 +18,9 @@
 // requestTick is the period of the work on requests that no message causes.
 const requestTick = 20 * time.Millisecond
 
+// countInterval is the time between two updates of the metrics of requests.
+const countInterval = time.Second
+
 // requester is the duty that decides on requests.
 type requester struct {
 	number   int
@@ -37,6 +40,7 @@
 	ended     *ring.Ring[decide.Ended]
 	peers     pimentospread.PeerNetwork
 	encoder   *replyEncoder
+	outcomes  *outcomeCounters
 	drops     dropCounters
 	actions   decide.RequestActions
 	view      *decide.View
@@ -47,6 +51,8 @@
 func (r *requester) run(ctx context.Context) error {
 	ticker := time.NewTicker(requestTick)
 	defer ticker.Stop()
+	count := time.NewTicker(countInterval)
+	defer count.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -67,6 +73,8 @@
 			r.decider.Report(now, l)
 		case v := <-r.views.Items():
 			r.configure(ctx, v)
+		case <-count.C:
+			r.outcomes.update(r.decider.Stats())
 		case <-r.closing.Items():
 			r.decider.Close(r.clock.Now(), &r.actions)
 		case <-ticker.C:
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -82,8 +82,9 @@
 		{"ColdStart", p.ColdStart}, {"MaxLifetime", p.MaxLifetime},
 	}
 	for _, t := range timeouts {
-		if t.value.Duration <= 0 {
-			faults = append(faults, pimentospread.Faultf(path+"."+t.name, "must be above zero, is %s", t.value))
+		// Flows keep their times in whole seconds.
+		if t.value.Duration < time.Second {
+			faults = append(faults, pimentospread.Faultf(path+"."+t.name, "must be at least 1s, is %s", t.value))
 		}
 	}
 	return faults
