Authenticate links between hosts and the administration API

Cause: frames between hosts were not authenticated. Anybody who reached the peer port could send messages in the name of any host.

Change: package keys loads a certificate, its key and the authorities from files and reads them again on each handshake. Links use TLS 1.3 with a certificate on both sides that names cell and host; a frame of another sender is refused, counted and ends the connection. Connections are renewed after an hour. Without keys only loopback addresses are allowed. `pimentospread keys` makes a private authority and certificates. The pause between dials now returns to its start only after a connection that lasted, so a refused certificate costs one handshake each 2 s, not each 50 ms. The settings test lists one fault more for an administration address off loopback.

--- a/command/burn.go
+++ b/command/burn.go
@@ -25,7 +25,7 @@
 		Usage: "report the service-level burn over all hosts of the cell",
 		Description: "Rates are shares of the error budget: at 1 the budget of a window is used up at its end.\n" +
 			"A host that does not answer is named.\n\nExample: pimentospread burn --output html > burn.html",
-		Flags: []cli.Flag{hostFlag(), &cli.StringFlag{
+		Flags: append(hostFlags(), &cli.StringFlag{
 			Name: flagOutput, Value: outputText, Usage: "text, json or html",
 			Validator: func(value string) error {
 				if value == outputText || value == outputJSON || value == outputHTML {
@@ -33,9 +33,13 @@
 				}
 				return errUsage.New("output %q is not one of text, json and html", value)
 			},
-		}},
+		}),
 		Action: func(ctx context.Context, c *cli.Command) error {
-			report, err := s.gatherBurn(ctx, client(c))
+			host, err := client(c)
+			if err != nil {
+				return err
+			}
+			report, err := s.gatherBurn(ctx, host)
 			if err != nil {
 				return err
 			}
--- a/command/cell_test.go
+++ b/command/cell_test.go
@@ -96,7 +96,7 @@
 
 // status names this host, a host that does not answer, and one that is another host.
 func (c *cell) status(context.Context) (member.CellStatus, error) {
-	here := netip.MustParseAddrPort(strings.TrimPrefix(c.server.URL, "http://"))
+	here := netip.MustParseAddrPort(c.server.Listener.Addr().String())
 	return member.CellStatus{Reporter: "host-1", Generation: 3, Hosts: []member.HostStatus{
 		{Host: "host-1", FailureDomain: "east", AdminAddress: here, Alive: true, Ready: true, Prepared: 3, Active: 3},
 		{Host: "host-2", FailureDomain: "west", AdminAddress: netip.MustParseAddrPort("127.0.0.1:1")},
--- a/command/change.go
+++ b/command/change.go
@@ -111,7 +111,11 @@
 func (s commands) publish(ctx context.Context, c *cli.Command, change publish.Change) error {
 	change.Publisher = c.String(flagBy)
 	change.IfGeneration = pimentospread.Generation(c.Uint64(flagGeneration))
-	r, err := client(c).Publish(ctx, change)
+	host, err := client(c)
+	if err != nil {
+		return err
+	}
+	r, err := host.Publish(ctx, change)
 	if err != nil {
 		var p operator.Problem
 		if errors.As(err, &p) {
--- /dev/null
+++ b/command/keys.go
@@ -0,0 +1,160 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"net/netip"
+	"net/url"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"pimentospread"
+	"pimentospread/keys"
+)
+
+const (
+	flagDirectory         = "directory"
+	flagCell              = "cell"
+	flagName              = "name"
+	flagOperator          = "operator"
+	flagAddress           = "address"
+	flagValidity          = "validity"
+	flagAuthorityValidity = "authority-validity"
+
+	day = 24 * time.Hour
+	// authorityFile is the name of the authority's files, without their ending.
+	authorityFile = "authority"
+)
+
+func (s commands) keys() *cli.Command {
+	return &cli.Command{
+		Name:  "keys",
+		Usage: "make a private authority and certificates for tests and small deployments",
+		Description: "The authority is made when the directory has none. Each name gets NAME.pem and NAME.key, which\n" +
+			"replace those of an earlier run. Keep authority.key away from the hosts.\n\n" +
+			"Example: pimentospread keys --directory keys --cell lk-west --name neg-1 --name neg-2 --address 192.0.2.1",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: flagDirectory, Required: true, Usage: "directory of the files"},
+			&cli.StringFlag{Name: flagCell, Usage: "cell of the hosts; needed with --name"},
+			&cli.StringSliceFlag{Name: flagName, Usage: "host that gets a certificate; may be repeated"},
+			&cli.StringSliceFlag{Name: flagOperator, Usage: "operator who gets a certificate; may be repeated"},
+			&cli.StringSliceFlag{
+				Name: flagAddress, Value: []string{"127.0.0.1"},
+				Usage: "IP address of the administration API in the hosts' certificates; may be repeated",
+			},
+			&cli.DurationFlag{Name: flagValidity, Value: 30 * day, Usage: "validity of the certificates"},
+			&cli.DurationFlag{Name: flagAuthorityValidity, Value: 365 * day, Usage: "validity of a new authority"},
+			outputFlag(),
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			written, err := makeKeys(c, time.Now())
+			if err != nil {
+				return err
+			}
+			return s.print(c, written, func(w io.Writer) {
+				for _, path := range written {
+					_, _ = fmt.Fprintln(w, path)
+				}
+			})
+		},
+	}
+}
+
+// makeKeys writes what the flags ask for and returns the paths of the files.
+func makeKeys(c *cli.Command, now time.Time) ([]string, error) {
+	names, cell := c.StringSlice(flagName), pimentospread.Cell(c.String(flagCell))
+	if len(names) > 0 && cell == "" {
+		return nil, errUsage.New("--%s needs --%s", flagName, flagCell)
+	}
+	if slices.Contains(append(names, c.StringSlice(flagOperator)...), authorityFile) {
+		return nil, errUsage.New("the name %q is that of the authority's files", authorityFile)
+	}
+	var addresses []netip.Addr
+	for _, text := range c.StringSlice(flagAddress) {
+		a, err := netip.ParseAddr(text)
+		if err != nil {
+			return nil, errUsage.New("address %q is not an IP address", text)
+		}
+		addresses = append(addresses, a)
+	}
+	d := keyDirectory{path: c.String(flagDirectory)}
+	authority, err := d.authority(now, c.Duration(flagAuthorityValidity))
+	if err != nil {
+		return nil, err
+	}
+	validity := c.Duration(flagValidity)
+	for _, name := range names {
+		pair, err := authority.Host(keys.Identity{Cell: cell, Host: pimentospread.HostID(name)}, addresses, now, validity)
+		if err := d.write(name, pair, err); err != nil {
+			return nil, err
+		}
+	}
+	for _, name := range c.StringSlice(flagOperator) {
+		pair, err := authority.Operator(name, now, validity)
+		if err := d.write(name, pair, err); err != nil {
+			return nil, err
+		}
+	}
+	return d.written, nil
+}
+
+// keyDirectory holds an authority and the certificates that it issued.
+type keyDirectory struct {
+	path    string
+	written []string
+}
+
+// authority returns the one of the directory, or makes it. An authority without its
+// key is refused: a new one would cut the hosts off from those that have certificates already.
+func (d *keyDirectory) authority(now time.Time, validity time.Duration) (*keys.Authority, error) {
+	certificate, errCertificate := os.ReadFile(filepath.Join(d.path, authorityFile+".pem"))
+	key, errKey := os.ReadFile(filepath.Join(d.path, authorityFile+".key"))
+	if errors.Is(errCertificate, fs.ErrNotExist) && errors.Is(errKey, fs.ErrNotExist) {
+		a, err := keys.NewAuthority("pimentospread authority", now, validity)
+		if err != nil {
+			return nil, err
+		}
+		return a, d.write(authorityFile, a.Pair, nil)
+	}
+	if err := errors.Join(errCertificate, errKey); err != nil {
+		return nil, pimentospread.At(pimentospread.ErrUnavailable.Wrap(err, "authority cannot be read"), "read", d.path)
+	}
+	return keys.LoadAuthority(keys.Pair{Certificate: certificate, Key: key})
+}
+
+// write stores a pair that was made without an error.
+func (d *keyDirectory) write(name string, p keys.Pair, err error) error {
+	if err != nil {
+		return err
+	}
+	if err := os.MkdirAll(d.path, 0o700); err != nil {
+		return pimentospread.At(pimentospread.ErrUnavailable.Wrap(err, "directory cannot be made"), "write", d.path)
+	}
+	for _, file := range []struct {
+		ending string
+		data   []byte
+		mode   fs.FileMode
+	}{{".key", p.Key, 0o600}, {".pem", p.Certificate, 0o644}} {
+		path := filepath.Join(d.path, url.PathEscape(name)+file.ending)
+		if err := replace(path, file.data, file.mode); err != nil {
+			return pimentospread.At(pimentospread.ErrUnavailable.Wrap(err, "file cannot be written"), "write", path)
+		}
+		d.written = append(d.written, path)
+	}
+	return nil
+}
+
+// replace writes a file as a whole, so that a host never reads half of it.
+func replace(path string, data []byte, mode fs.FileMode) error {
+	if err := os.WriteFile(path+".new", data, mode); err != nil {
+		return err
+	}
+	return os.Rename(path+".new", path)
+}
--- /dev/null
+++ b/command/keys_test.go
@@ -0,0 +1,93 @@
+package command_test
+
+import (
+	"log/slog"
+	"net/http/httptest"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"pimentospread"
+	"pimentospread/command"
+	"pimentospread/keys"
+)
+
+// noMetrics drops what is counted.
+type noMetrics struct{}
+
+func (noMetrics) Counter(string) pimentospread.Counter { return noMetrics{} }
+func (noMetrics) Gauge(string, func() float64)         {}
+func (noMetrics) Add(int)                              {}
+
+// Guards against an administration API that answers without the keys that it
+// asks for, and against commands that send the token to a host they cannot check.
+func TestSecureHost(t *testing.T) {
+	c, directory := newCell(t), t.TempDir()
+	path := func(name string) string { return filepath.Join(directory, name) }
+	made := run(t.Context(), "", "keys", "--directory", directory, "--cell", "cell", "--name", "host-1", "--operator", "alice")
+	want := []string{"authority.key", "authority.pem", "host-1.key", "host-1.pem", "alice.key", "alice.pem"}
+	if diff := cmp.Diff(want, strings.Fields(strings.ReplaceAll(made.Out, directory+"/", ""))); diff != "" {
+		t.Fatalf("%s\n%s", diff, made.Errors)
+	}
+	store, err := keys.Open(keys.Deps{
+		Use: "admin", Clock: pimentospread.SystemClock{}, Metrics: noMetrics{}, Log: slog.New(slog.DiscardHandler),
+		Files: keys.Files{CertificatePath: path("host-1.pem"), KeyPath: path("host-1.key"), AuthorityPath: path("authority.pem")},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	handler := c.server.Config.Handler
+	c.server.Close()
+	c.server = httptest.NewUnstartedServer(handler)
+	c.server.Config.ErrorLog = slog.NewLogLogger(slog.DiscardHandler, slog.LevelWarn)
+	c.server.TLS = store.AdminServer()
+	c.server.StartTLS()
+	t.Cleanup(c.server.Close)
+	other := t.TempDir()
+	run(t.Context(), "", "keys", "--directory", other)
+	authority, own := []string{"--authority", path("authority.pem")}, []string{"--certificate", path("alice.pem"), "--key", path("alice.key")}
+	tests := map[string]struct {
+		flags []string
+		code  int
+	}{
+		"with keys":              {append(authority, own...), command.ExitDone},
+		"no certificate":         {authority, command.ExitFailed},
+		"no authority":           {own, command.ExitUsage},
+		"another authority":      {append([]string{"--authority", filepath.Join(other, "authority.pem")}, own...), command.ExitFailed},
+		"authority without keys": {[]string{"--authority", path("alice.key")}, command.ExitRefused},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := c.run(t.Context(), append([]string{"status"}, tt.flags...)...); got.Code != tt.code {
+				t.Errorf("exit code %d, want %d: %s%s", got.Code, tt.code, got.Out, got.Errors)
+			}
+		})
+	}
+	// The other hosts of the cell are called at their addresses, with the same keys.
+	if got := c.run(t.Context(), append(append([]string{"burn"}, authority...), own...)...); !strings.Contains(got.Errors, `the report is of host "host-1"`) {
+		t.Errorf("burn: %s%s", got.Out, got.Errors)
+	}
+}
+
+// Guards against a run that replaces an authority whose certificates are in use.
+func TestKeysKeepTheAuthority(t *testing.T) {
+	directory := t.TempDir()
+	for _, tt := range []struct {
+		flags []string
+		code  int
+		files int
+	}{
+		{[]string{"--name", "a"}, command.ExitUsage, 0},
+		{[]string{"--cell", "x", "--name", "authority"}, command.ExitUsage, 0},
+		{[]string{"--address", "host-1"}, command.ExitUsage, 0},
+		{[]string{"--cell", "x", "--name", "a"}, command.ExitDone, 4},
+		{[]string{"--cell", "x", "--name", "a"}, command.ExitDone, 2},
+	} {
+		got := run(t.Context(), "", append([]string{"keys", "--directory", directory}, tt.flags...)...)
+		if got.Code != tt.code || len(strings.Fields(got.Out)) != tt.files {
+			t.Errorf("%v: exit code %d, want %d: %s%s", tt.flags, got.Code, tt.code, got.Out, got.Errors)
+		}
+	}
+}
--- a/command/root.go
+++ b/command/root.go
@@ -11,6 +11,7 @@
 	"github.com/urfave/cli/v3"
 
 	"pimentospread"
+	"pimentospread/keys"
 	"pimentospread/operator"
 )
 
@@ -61,7 +62,7 @@
 		Description: "Exit codes: 0 done, 1 failed, 2 wrong use, 3 refused by a check, 4 lost a race.",
 		Commands: []*cli.Command{
 			c.serve(), c.apply(), c.check(), c.get(), c.watch(), c.rollback(), c.drain(),
-			c.status(), c.burn(), c.settings(), c.version(),
+			c.status(), c.burn(), c.keys(), c.settings(), c.version(),
 		},
 	}
 	root.OnUsageError = usageError
@@ -111,6 +112,9 @@
 	flagUndo       = "undo"
 	flagReference  = "reference"
 	flagAfter      = "after"
+	flagAuthority  = "authority"
+	flagCert       = "certificate"
+	flagKey        = "key"
 )
 
 func hostFlag() cli.Flag {
@@ -120,6 +124,24 @@
 	}
 }
 
+// hostFlags say which host a command calls, and with which keys.
+func hostFlags() []cli.Flag {
+	return []cli.Flag{
+		hostFlag(),
+		&cli.StringFlag{
+			Name: flagAuthority, Sources: cli.EnvVars("PIMENTOSPREAD_AUTHORITY"),
+			Usage: "PEM file with the authority of the hosts' certificates; needs an https URL",
+		},
+		&cli.StringFlag{
+			Name: flagCert, Sources: cli.EnvVars("PIMENTOSPREAD_CERTIFICATE"),
+			Usage: "PEM file with the certificate to show, where hosts ask for one",
+		},
+		&cli.StringFlag{
+			Name: flagKey, Sources: cli.EnvVars("PIMENTOSPREAD_KEY"), Usage: "PEM file with the private key of the certificate",
+		},
+	}
+}
+
 func tokenFlag() cli.Flag {
 	return &cli.StringFlag{
 		Name: flagToken, Sources: cli.EnvVars("PIMENTOSPREAD_TOKEN"), Usage: "administration token",
@@ -143,13 +165,27 @@
 }
 
 func changeFlags() []cli.Flag {
-	return []cli.Flag{
-		hostFlag(), tokenFlag(), outputFlag(),
+	return append(hostFlags(), tokenFlag(), outputFlag(),
 		&cli.Uint64Flag{Name: flagGeneration, Usage: "refuse unless this generation is in force"},
 		&cli.StringFlag{Name: flagBy, Value: "operator", Usage: "name shown to those who lose a race against this change"},
-	}
+	)
 }
 
-func client(c *cli.Command) *operator.Client {
-	return operator.NewClient(c.String(flagHost), c.String(flagToken))
+// client returns the client that the flags describe. The token goes over TLS
+// only when an authority is named, so an https URL without one is refused.
+func client(c *cli.Command) (*operator.Client, error) {
+	host, authority := c.String(flagHost), c.String(flagAuthority)
+	if strings.HasPrefix(host, "https://") != (authority != "") {
+		return nil, errUsage.New("an https URL and --%s go together", flagAuthority)
+	}
+	if authority == "" {
+		return operator.NewClient(host, c.String(flagToken)), nil
+	}
+	config, err := keys.AdminClient(keys.Files{
+		CertificatePath: c.String(flagCert), KeyPath: c.String(flagKey), AuthorityPath: authority,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return operator.NewSecureClient(host, c.String(flagToken), config), nil
 }
--- a/command/show.go
+++ b/command/show.go
@@ -18,9 +18,13 @@
 		Name:        "get",
 		Usage:       "print the objects in force at a host",
 		Description: "The JSON output can be changed and applied again.\n\nExample: pimentospread get --output json",
-		Flags:       []cli.Flag{hostFlag(), outputFlag()},
+		Flags:       append(hostFlags(), outputFlag()),
 		Action: func(ctx context.Context, c *cli.Command) error {
-			r, err := client(c).Release(ctx, 0)
+			host, err := client(c)
+			if err != nil {
+				return err
+			}
+			r, err := host.Release(ctx, 0)
 			if err != nil {
 				return err
 			}
@@ -34,11 +38,15 @@
 		Name:        "watch",
 		Usage:       "print each new generation as the host takes it",
 		Description: "Example: pimentospread watch --after 41",
-		Flags:       []cli.Flag{hostFlag(), outputFlag(), &cli.Uint64Flag{Name: flagAfter, Usage: "the last generation already known"}},
+		Flags:       append(hostFlags(), outputFlag(), &cli.Uint64Flag{Name: flagAfter, Usage: "the last generation already known"}),
 		Action: func(ctx context.Context, c *cli.Command) error {
+			host, err := client(c)
+			if err != nil {
+				return err
+			}
 			after := pimentospread.Generation(c.Uint64(flagAfter))
 			for ctx.Err() == nil {
-				r, err := client(c).Release(ctx, after)
+				r, err := host.Release(ctx, after)
 				if isTimeout(err) {
 					continue
 				}
@@ -63,9 +71,13 @@
 		Name:        "status",
 		Usage:       "show which host has which generation in force",
 		Description: "Example: pimentospread status --host http://127.0.0.1:8600",
-		Flags:       []cli.Flag{hostFlag(), outputFlag()},
+		Flags:       append(hostFlags(), outputFlag()),
 		Action: func(ctx context.Context, c *cli.Command) error {
-			status, err := client(c).Status(ctx)
+			host, err := client(c)
+			if err != nil {
+				return err
+			}
+			status, err := host.Status(ctx)
 			if err != nil {
 				return err
 			}
--- a/host/build.go
+++ b/host/build.go
@@ -41,10 +41,15 @@
 		return pimentospread.At(pimentospread.ErrInvalid.Wrap(err, "PlatformURL is not a URL"), "build", "")
 	}
 	store := platform.NewClient(platform.Deps{Base: base})
+	peerKeys, err := h.openKeys()
+	if err != nil {
+		return err
+	}
 	route := h.newRouter()
 	h.network = peer.NewNetwork(peer.Deps{
 		Self: h.settings.Host, Incarnation: h.incarnation, Listener: h.sockets.peer,
 		Registry: Messages(), Inbox: route, Metrics: h.metrics, Log: h.log,
+		Keys: peerKeys,
 	})
 	views := h.newViews()
 	reports := ring.New[pimentospread.LoadReport](h.settings.RingCapacity, ring.DropOldest)
--- a/host/host.go
+++ b/host/host.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"io"
 	"log/slog"
 	"math/rand/v2"
@@ -50,7 +51,9 @@
 	sender    *sender
 	reporter  *reporter
 	operator  *operator.Server
-	progress  *ring.Ring[progress]
+	// adminTLS is nil when the administration API is plain HTTP.
+	adminTLS *tls.Config
+	progress *ring.Ring[progress]
 	// recorder is nil unless the settings name a trace file.
 	recorder  *trace.Recorder
 	traceFile io.Closer
@@ -161,7 +164,7 @@
 	g.Go("send", h.sender.run)
 	g.Go("receive", h.receiver.run)
 	g.Go("report", h.reporter.run)
-	g.Go("operator", func(ctx context.Context) error { return h.operator.Run(ctx, h.sockets.admin) })
+	g.Go("operator", func(ctx context.Context) error { return h.operator.Run(ctx, h.adminListener()) })
 	h.log.Info("host started", "data", h.sockets.data.address(), "peer", addressOf(h.sockets.peer), "admin", addressOf(h.sockets.admin))
 	select {
 	case <-ctx.Done():
--- /dev/null
+++ b/keys/identity.go
@@ -0,0 +1,62 @@
+package keys
+
+import (
+	"crypto/x509"
+	"net/url"
+	"strings"
+
+	"pimentospread"
+)
+
+// scheme is the URI scheme of an identity.
+const scheme = "pimentospread"
+
+// Identity is the host that a certificate stands for.
+type Identity struct {
+	Cell pimentospread.Cell
+	Host pimentospread.HostID
+}
+
+// URI returns the subject alternative name that carries the identity. The parts
+// are escaped, so a name with a slash cannot stand for another host.
+func (i Identity) URI() *url.URL {
+	cell, host := url.PathEscape(string(i.Cell)), url.PathEscape(string(i.Host))
+	return &url.URL{Scheme: scheme, Path: "/" + string(i.Cell) + "/" + string(i.Host), RawPath: "/" + cell + "/" + host}
+}
+
+// String returns the cell and the host.
+func (i Identity) String() string { return string(i.Cell) + "/" + string(i.Host) }
+
+// IdentityOf returns the identity in a certificate. A certificate with none or
+// with more than one is refused.
+func IdentityOf(c *x509.Certificate) (Identity, error) {
+	var found []Identity
+	for _, u := range c.URIs {
+		if i, ok := parseIdentity(u); ok {
+			found = append(found, i)
+		}
+	}
+	if len(found) != 1 {
+		return Identity{}, refusal(CauseIdentity, "", "the certificate of %q names %d hosts, must name one", c.Subject.CommonName, len(found))
+	}
+	return found[0], nil
+}
+
+func parseIdentity(u *url.URL) (Identity, bool) {
+	if u.Scheme != scheme || u.Host != "" {
+		return Identity{}, false
+	}
+	parts := strings.Split(strings.TrimPrefix(u.EscapedPath(), "/"), "/")
+	if len(parts) != 2 {
+		return Identity{}, false
+	}
+	cell, err := url.PathUnescape(parts[0])
+	if err != nil || cell == "" {
+		return Identity{}, false
+	}
+	host, err := url.PathUnescape(parts[1])
+	if err != nil || host == "" {
+		return Identity{}, false
+	}
+	return Identity{Cell: pimentospread.Cell(cell), Host: pimentospread.HostID(host)}, true
+}
--- a/operator/client.go
+++ b/operator/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -21,6 +22,8 @@
 	base  string
 	token string
 	http  *http.Client
+	// tls is nil when the hosts serve plain HTTP.
+	tls *tls.Config
 }
 
 // NewClient returns a client for the host at the base URL.
@@ -28,9 +31,17 @@
 	return &Client{base: base, token: token, http: &http.Client{}}
 }
 
-// At returns a client with the same token for another host.
+// NewSecureClient returns a client that calls hosts over TLS with the configuration.
+func NewSecureClient(base, token string, config *tls.Config) *Client {
+	return &Client{base: base, token: token, tls: config, http: &http.Client{Transport: &http.Transport{TLSClientConfig: config}}}
+}
+
+// At returns a client with the same token and keys for another host.
 func (c *Client) At(address netip.AddrPort) *Client {
-	return NewClient("http://"+address.String(), c.token)
+	if c.tls == nil {
+		return NewClient("http://"+address.String(), c.token)
+	}
+	return NewSecureClient("https://"+address.String(), c.token, c.tls)
 }
 
 // Release returns the release of the host once its generation is above after.
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -25,6 +25,8 @@
 	CauseKind     Cause = "kind"
 	CauseBody     Cause = "body"
 	CauseInvalid  Cause = "invalid"
+	// CauseSender is a frame that names another host than the certificate of its connection.
+	CauseSender Cause = "sender"
 )
 
 // Registry finds the constructor of a message by its kind.
--- a/peer/link.go
+++ b/peer/link.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"time"
@@ -36,11 +37,14 @@
 	defer l.stop()
 	delay := l.network.deps.FirstDelay
 	for ctx.Err() == nil {
-		sent, err := l.connect(ctx)
+		lasted, err := l.connect(ctx)
 		if ctx.Err() != nil {
 			break
 		}
-		if sent {
+		if errors.Is(err, errRenewed) {
+			continue
+		}
+		if lasted {
 			delay = l.network.deps.FirstDelay
 		}
 		l.network.deps.Log.Debug("connection to peer ended", "peer", l.peer, "error", err)
@@ -50,30 +54,35 @@
 	return nil
 }
 
-// connect dials once and sends until the connection fails. It reports whether anything was sent.
+// connect dials once and sends until the connection fails. It reports whether
+// the connection lasted: a peer that accepts and then refuses the certificate
+// or a frame would otherwise be dialed each FirstDelay, with a handshake each time.
 func (l *link) connect(ctx context.Context) (bool, error) {
-	d := net.Dialer{Timeout: l.network.deps.Deadline}
-	c, err := d.DialContext(ctx, "tcp", l.address.String())
+	c, err := l.dial(ctx)
 	if err != nil {
 		l.discard()
-		return false, pimentospread.At(pimentospread.ErrUnavailable.Wrap(err, "peer does not accept"), "dial", string(l.peer))
+		return false, err
 	}
 	defer func() { _ = c.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	defer stop()
 	// A peer never writes on this connection, so a read returns only when it is closed.
 	// Without it a dead connection takes messages until a write fails.
-	ended := make(chan struct{})
+	ended := make(chan error, 1)
 	go func() {
 		defer close(ended)
-		_, _ = c.Read(make([]byte, 1))
+		_, err := c.Read(make([]byte, 1))
+		ended <- err
 		_ = c.Close()
 	}()
 	defer func() {
 		_ = c.Close()
-		<-ended
+		for range ended { //nolint:revive // waits until the reader has ended
+		}
 	}()
-	return l.drain(ctx, c, ended)
+	began := time.Now()
+	err = l.drain(ctx, c, ended)
+	return time.Since(began) >= l.network.deps.LastDelay, err
 }
 
 // discard drops what waits for a peer that does not accept. Otherwise a peer
@@ -89,20 +98,22 @@
 	}
 }
 
-func (l *link) drain(ctx context.Context, c net.Conn, ended <-chan struct{}) (bool, error) {
+func (l *link) drain(ctx context.Context, c net.Conn, ended <-chan error) error {
+	renew, stop := l.network.renewal()
+	defer stop()
 	w := bufio.NewWriter(c)
-	sent := false
 	for {
 		select {
 		case <-ctx.Done():
-			return sent, nil
-		case <-ended:
-			return sent, pimentospread.At(pimentospread.ErrClosed.New("peer closed the connection"), "send", string(l.peer))
+			return nil
+		case err := <-ended:
+			return l.ended(err)
+		case <-renew:
+			return renewed(w.Flush())
 		case m := <-l.queue.Items():
 			if err := l.write(c, w, m); err != nil {
-				return sent, pimentospread.At(pimentospread.ErrUnavailable.Wrap(err, "peer does not take messages"), "send", string(l.peer))
+				return l.broken(err, ended)
 			}
-			sent = true
 		}
 	}
 }
--- a/peer/metrics.go
+++ b/peer/metrics.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"pimentospread"
+	"pimentospread/keys"
 )
 
 // metrics counts bytes by kind of message, and what is refused by cause.
@@ -11,20 +12,40 @@
 	bytesSent, bytesReceived map[pimentospread.MessageKind]pimentospread.Counter
 	causes                   map[Cause]pimentospread.Counter
 	drops                    map[string]pimentospread.Counter
+	// refused counts handshakes that failed, by the side that this host had.
+	refused    map[side]map[keys.Cause]pimentospread.Counter
+	handshakes map[side]pimentospread.Counter
 }
 
+// side is the part that this host has in a connection.
+type side string
+
+const (
+	accepting side = "accept"
+	dialing   side = "dial"
+)
+
 func newMetrics(m pimentospread.Metrics, r Registry) *metrics {
 	s := &metrics{
 		bytesSent:     map[pimentospread.MessageKind]pimentospread.Counter{},
 		bytesReceived: map[pimentospread.MessageKind]pimentospread.Counter{},
 		causes:        map[Cause]pimentospread.Counter{},
 		drops:         map[string]pimentospread.Counter{},
+		refused:       map[side]map[keys.Cause]pimentospread.Counter{},
+		handshakes:    map[side]pimentospread.Counter{},
+	}
+	for _, d := range []side{accepting, dialing} {
+		s.handshakes[d] = m.Counter(fmt.Sprintf("peer_handshakes_total{side=%q}", d))
+		s.refused[d] = map[keys.Cause]pimentospread.Counter{}
+		for _, c := range keys.Causes() {
+			s.refused[d][c] = m.Counter(fmt.Sprintf("peer_refused_connections_total{side=%q,cause=%q}", d, c))
+		}
 	}
 	for kind := range r {
 		s.bytesSent[kind] = m.Counter(fmt.Sprintf("peer_sent_bytes_total{kind=%q}", kind))
 		s.bytesReceived[kind] = m.Counter(fmt.Sprintf("peer_received_bytes_total{kind=%q}", kind))
 	}
-	for _, c := range []Cause{CauseLength, CauseEnvelope, CauseKind, CauseBody, CauseInvalid} {
+	for _, c := range []Cause{CauseLength, CauseEnvelope, CauseKind, CauseBody, CauseInvalid, CauseSender} {
 		s.causes[c] = m.Counter(fmt.Sprintf("peer_malformed_total{cause=%q}", c))
 	}
 	for _, c := range []string{"no_peer", "encode", "inbox", "unreachable"} {
@@ -43,4 +64,13 @@
 
 func (s *metrics) malformed(c Cause) { s.causes[c].Add(1) }
 
+// handshake counts a handshake and the cause of its failure.
+func (s *metrics) handshake(d side, err error) {
+	if err != nil {
+		s.refused[d][keys.CauseOf(err)].Add(1)
+		return
+	}
+	s.handshakes[d].Add(1)
+}
+
 func (s *metrics) dropped(cause string) { s.drops[cause].Add(1) }
--- a/peer/network.go
+++ b/peer/network.go
@@ -14,6 +14,7 @@
 
 	"pimentospread"
 	"pimentospread/duty"
+	"pimentospread/keys"
 	"pimentospread/ring"
 )
 
@@ -40,6 +41,13 @@
 	// Deadline bounds one dial or one write. Zero means 2 s, after which the
 	// cell counts the peer as dead in any case.
 	Deadline time.Duration
+	// Keys authenticate both sides of each connection. Nil means plain TCP,
+	// which is dialed on loopback addresses only.
+	Keys *keys.Store
+	// RenewAfter is the age at which a connection with keys is replaced, so that
+	// rotated keys come into use and expired ones go out of use. Zero means 1 h:
+	// 15 peers then cost 720 handshakes a day, and a host's restarts 240.
+	RenewAfter time.Duration
 }
 
 // Network implements pimentospread.PeerNetwork.
@@ -68,6 +76,9 @@
 	if d.Deadline == 0 {
 		d.Deadline = 2 * time.Second
 	}
+	if d.RenewAfter == 0 {
+		d.RenewAfter = time.Hour
+	}
 	n := &Network{
 		deps:    d,
 		metrics: newMetrics(d.Metrics, d.Registry),
--- a/peer/network_test.go
+++ b/peer/network_test.go
@@ -56,7 +56,7 @@
 	done    chan struct{}
 }
 
-func start(t *testing.T, id pimentospread.HostID, address string) *node {
+func start(t *testing.T, id pimentospread.HostID, address string, changes ...func(*peer.Deps)) *node {
 	t.Helper()
 	l, err := new(net.ListenConfig).Listen(t.Context(), "tcp", address)
 	if err != nil {
@@ -68,10 +68,14 @@
 		metrics: newCounters(),
 		done:    make(chan struct{}),
 	}
-	n.network = peer.NewNetwork(peer.Deps{
+	d := peer.Deps{
 		Self: id, Incarnation: 1, Listener: l, Inbox: n.inbox, Metrics: n.metrics, Log: slog.New(slog.DiscardHandler),
 		Registry: peer.Registry{member.KindHeartbeat: func() pimentospread.Message { return &member.Heartbeat{} }},
-	})
+	}
+	for _, change := range changes {
+		change(&d)
+	}
+	n.network = peer.NewNetwork(d)
 	ctx, stop := context.WithCancel(context.Background())
 	n.stop = stop
 	go func() {
--- a/settings/check.go
+++ b/settings/check.go
@@ -9,6 +9,7 @@
 	"net/url"
 
 	"pimentospread"
+	"pimentospread/keys"
 )
 
 const (
@@ -41,6 +42,10 @@
 	if s.AdminAddress.IsValid() && !s.AdminAddress.Addr().IsLoopback() && !s.AllowRemoteAdmin {
 		c.fault("AdminAddress", "%s is not a loopback address and AllowRemoteAdmin is false", s.AdminAddress)
 	}
+	c.keyFiles("PeerKeys", s.PeerKeys, true)
+	c.keyFiles("AdminKeys", s.AdminKeys, false)
+	c.plain("PeerAddress", s.PeerAddress, "PeerKeys", s.PeerKeys)
+	c.plain("AdminAddress", s.AdminAddress, "AdminKeys", s.AdminKeys)
 	if !s.FabricAddress.IsValid() || s.FabricAddress.Port() == 0 {
 		c.fault("FabricAddress", "%q is not an address with a port", s.FabricAddress)
 	}
@@ -50,6 +55,7 @@
 	for i, seed := range s.Seeds {
 		c.required(fmt.Sprintf("Seeds[%d].Host", i), string(seed.Host))
 		c.address(fmt.Sprintf("Seeds[%d].PeerAddress", i), seed.PeerAddress)
+		c.plain(fmt.Sprintf("Seeds[%d].PeerAddress", i), seed.PeerAddress, "PeerKeys", s.PeerKeys)
 	}
 	c.between("FlowShards", s.FlowShards, 1, maxFlowShards)
 	c.between("RingCapacity", s.RingCapacity, 1, maxRingCapacity)
@@ -86,6 +92,25 @@
 	}
 }
 
+// keyFiles wants either no file or all that are needed.
+func (c *checker) keyFiles(path string, f keys.Files, authority bool) {
+	if f.IsZero() {
+		return
+	}
+	c.required(path+".CertificatePath", f.CertificatePath)
+	c.required(path+".KeyPath", f.KeyPath)
+	if authority {
+		c.required(path+".AuthorityPath", f.AuthorityPath)
+	}
+}
+
+// plain refuses an address that others can reach when nothing authenticates them.
+func (c *checker) plain(path string, value netip.AddrPort, group string, f keys.Files) {
+	if value.IsValid() && f.IsZero() && !value.Addr().Unmap().IsLoopback() {
+		c.fault(path, "%s is not a loopback address and %s is not set", value, group)
+	}
+}
+
 func (c *checker) between(path string, value, low, high int) {
 	if value < low || value > high {
 		c.fault(path, "is %d, must be between %d and %d", value, low, high)
--- a/settings/reference.go
+++ b/settings/reference.go
@@ -47,6 +47,8 @@
 		return "address"
 	case "[]settings.Seed":
 		return "list of `Host` and `PeerAddress`"
+	case "keys.Files":
+		return "`CertificatePath`, `KeyPath` and `AuthorityPath`"
 	case "pimentospread.Duration":
 		return "duration"
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pimentospread"
+	"pimentospread/keys"
 )
 
 // Settings are all that an entry host is told at its start. They are written
@@ -25,10 +26,14 @@
 	RequestAddress netip.AddrPort `json:"RequestAddress"`
 	// PeerAddress is the TCP address for the other hosts of the cell.
 	PeerAddress netip.AddrPort `json:"PeerAddress"`
+	// PeerKeys are the PEM files that authenticate the hosts of the cell to each other with TLS 1.3. Without them links are plain TCP, which is allowed on loopback addresses only.
+	PeerKeys keys.Files `json:"PeerKeys"`
 	// AdminAddress is the TCP address of the administration API, metrics and health.
 	AdminAddress netip.AddrPort `json:"AdminAddress"`
 	// AllowRemoteAdmin permits an AdminAddress that is not a loopback address.
 	AllowRemoteAdmin bool `json:"AllowRemoteAdmin"`
+	// AdminKeys are the PEM files with which the administration API serves HTTPS. With an AuthorityPath every client must show a certificate of it. Without a certificate the API is plain HTTP, which is allowed on loopback addresses only.
+	AdminKeys keys.Files `json:"AdminKeys"`
 	// AdminToken is the bearer token that changes need. Without one every change is refused.
 	AdminToken string `json:"AdminToken"`
 	// FabricAddress is the UDP address to which packets for callers are sent. Required.
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -29,6 +29,7 @@
 			faults: []string{
 				"Host: is required", "Cell: is required", "FailureDomain: is required",
 				"AdminAddress: 192.0.2.1:80 is not a loopback address and AllowRemoteAdmin is false",
+				"AdminAddress: 192.0.2.1:80 is not a loopback address and AdminKeys is not set",
 				`FabricAddress: "invalid AddrPort" is not an address with a port`,
 				`PlatformURL: "" is not a URL with a host`,
 				"FlowShards: is 0, must be between 1 and 64",
@@ -36,6 +37,22 @@
 				`LogLevel: "loud" is not one of debug, info, warn, error`,
 			},
 		},
+		"plain TCP off loopback": {
+			text: sound + `,"PeerAddress":"0.0.0.0:7000","Seeds":[{"Host":"neg-2","PeerAddress":"192.0.2.2:7000"}]}`,
+			faults: []string{
+				"PeerAddress: 0.0.0.0:7000 is not a loopback address and PeerKeys is not set",
+				"Seeds[0].PeerAddress: 192.0.2.2:7000 is not a loopback address and PeerKeys is not set",
+			},
+		},
+		"keys off loopback": {
+			text: sound + `,"PeerAddress":"0.0.0.0:7000","PeerKeys":{"CertificatePath":"c","KeyPath":"k","AuthorityPath":"a"}}`,
+		},
+		"incomplete keys": {
+			text: sound + `,"PeerKeys":{"KeyPath":"k"},"AdminKeys":{"CertificatePath":"c"}}`,
+			faults: []string{
+				"PeerKeys.CertificatePath: is required", "PeerKeys.AuthorityPath: is required", "AdminKeys.KeyPath: is required",
+			},
+		},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
