Remove a setting without effect

Cause: ProbeInterval was never read; targets are probed each second, and two probes in a row decide. Change: the setting is gone.

--- a/settings/check.go
+++ b/settings/check.go
@@ -67,7 +67,6 @@
 	}
 	c.between("FlowShards", s.FlowShards, 1, maxFlowShards)
 	c.between("RingCapacity", s.RingCapacity, 1, maxRingCapacity)
-	c.positive("ProbeInterval", s.ProbeInterval)
 	c.positive("ProbeTimeout", s.ProbeTimeout)
 	c.positive("ShutdownGrace", s.ShutdownGrace)
 	if s.LogFormat != "json" && s.LogFormat != "text" {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -46,8 +46,6 @@
 	FlowShards int `json:"FlowShards"`
 	// RingCapacity is the number of items in each ring between duties (count).
 	RingCapacity int `json:"RingCapacity"`
-	// ProbeInterval is the time between two probes of a target.
-	ProbeInterval pimentospread.Duration `json:"ProbeInterval"`
 	// ProbeTimeout is the time after which a probe without an answer has failed.
 	ProbeTimeout pimentospread.Duration `json:"ProbeTimeout"`
 	// ShutdownGrace bounds the time from SIGTERM to the end of the process.
@@ -78,7 +76,6 @@
 		AdminAddress:   loopback,
 		FlowShards:     2,
 		RingCapacity:   4096,
-		ProbeInterval:  pimentospread.Duration{Duration: time.Second},
 		ProbeTimeout:   pimentospread.Duration{Duration: 500 * time.Millisecond},
 		ShutdownGrace:  pimentospread.Duration{Duration: 30 * time.Second},
 		LogFormat:      "json",
