--- /dev/null
+++ b/ring/example_test.go
@@ -0,0 +1,32 @@
+package ring_test
+
+import (
+	"context"
+	"fmt"
+
+	"pimentospread/ring"
+)
+
+// A full ring acts by its policy and counts what it refuses.
+func ExampleRing_Put() {
+	ctx := context.Background()
+	r := ring.New[string](1, ring.DropOldest)
+	_ = r.Put(ctx, "first")
+	_ = r.Put(ctx, "second")
+	fmt.Println(<-r.Items(), r.Refused())
+	// Output: second 1
+}
+
+// A flood in one rank does not take the room of another.
+func ExampleClassed_Take() {
+	ctx := context.Background()
+	c := ring.NewClassed[string](2, 1)
+	_ = c.Put(ctx, 1, "map")
+	fmt.Println(c.Put(ctx, 1, "another map") != nil)
+	_ = c.Put(ctx, 0, "report")
+	next, _ := c.Take()
+	fmt.Println(next)
+	// Output:
+	// true
+	// report
+}
