Take new requests in batches

Cause: the requests duty emptied the front ring before it looked at answers, so a flood delayed the slots that answers give back. Change: 64 requests a turn; Classed.Wake announces what is left.

--- a/host/requests.go
+++ b/host/requests.go
@@ -18,6 +18,9 @@
 // requestTick is the period of the work on requests that no message causes.
 const requestTick = 20 * time.Millisecond
 
+// requestBatch is the number of requests that are taken before other events get their turn.
+const requestBatch = 64
+
 // countInterval is the time between two updates of the metrics of requests.
 const countInterval = time.Second
 
@@ -87,8 +90,10 @@
 	}
 }
 
+// takeRequests takes a batch of new requests. Answers and ticks come in between,
+// so that a flood does not keep slots from being given back.
 func (r *requester) takeRequests(ctx context.Context) {
-	for {
+	for range requestBatch {
 		q, ok := r.requests.Take()
 		if !ok {
 			return
@@ -97,6 +102,7 @@
 		r.recording.request(ctx, now, q)
 		r.decider.Arrive(now, q, &r.actions)
 	}
+	r.requests.Wake()
 }
 
 func (r *requester) configure(ctx context.Context, v *decide.View) {
--- a/ring/classed.go
+++ b/ring/classed.go
@@ -29,15 +29,21 @@
 	if err := c.ranks[rank].Put(ctx, item); err != nil {
 		return err
 	}
+	c.Wake()
+	return nil
+}
+
+// Wake makes Ready receive once more. A consumer calls it that stops taking
+// before the rings are empty.
+func (c *Classed[T]) Wake() {
 	select {
 	case c.ready <- struct{}{}:
 	default:
 	}
-	return nil
 }
 
 // Ready returns a channel that receives after items were added. The consumer
-// then calls Take until it reports false.
+// then calls Take until it reports false, or calls Wake.
 func (c *Classed[T]) Ready() <-chan struct{} { return c.ready }
 
 // Take removes the next item, lowest rank first. It does not wait.
--- a/ring/ring_test.go
+++ b/ring/ring_test.go
@@ -99,3 +99,23 @@
 		t.Error(diff)
 	}
 }
+
+// Guards against items that stay in the rings when their consumer stops early.
+func TestWakeAnnouncesWhatIsLeft(t *testing.T) {
+	c := ring.NewClassed[int](1, 4)
+	for i := range 2 {
+		if err := c.Put(context.Background(), 0, i); err != nil {
+			t.Fatal(err)
+		}
+	}
+	<-c.Ready()
+	if _, ok := c.Take(); !ok {
+		t.Fatal("nothing to take")
+	}
+	c.Wake()
+	select {
+	case <-c.Ready():
+	default:
+		t.Error("the item that is left is not announced")
+	}
+}
