--- a/scripts/cell.sh
+++ b/scripts/cell.sh
@@ -8,6 +8,8 @@
 GRANT_WAIT=${GRANT_WAIT:-11}
 # When set, each host writes the trace of its decisions to this folder.
 TRACE_DIR=${TRACE_DIR:-}
+# KEYS=1 gives the hosts keys, so that they authenticate each other.
+KEYS=${KEYS:-}
 BOARD_INTERVAL=${BOARD_INTERVAL:-2s}
 # Options of the fabric, such as "--loss 0.01 --duplicate 0.01".
 read -r -a FABRIC_OPTIONS <<<"${FABRIC_OPTIONS:-}"
@@ -109,9 +111,14 @@
 
 # start_hosts starts the hosts, publishes the object set and waits until every host is ready.
 start_hosts() {
-  local i logs=() targets=() service
+  local i logs=() targets=() service keys=""
+  if [ -n "$KEYS" ]; then
+    keys=$RUN/keys
+    # shellcheck disable=SC2046 # the names have no spaces
+    "$HOST_PROGRAM" keys --directory "$keys" --cell "$CELL" $(seq -f '--name host-%g' "$HOSTS") >/dev/null
+  fi
   standin settings --directory "$RUN" --cell "$CELL" --count "$HOSTS" "${DOMAIN_OPTIONS[@]}" \
-    --platform "$PLATFORM" --fabric "$FABRIC" --trace "$TRACE_DIR"
+    --platform "$PLATFORM" --fabric "$FABRIC" --trace "$TRACE_DIR" --keys "$keys"
   for i in $(seq "$HOSTS"); do
     start "host-$i" "$HOST_PROGRAM" serve --settings "$RUN/host-$i.json"
     HOST_PIDS+=("$STARTED")
--- a/standin/cell/settings.go
+++ b/standin/cell/settings.go
@@ -14,6 +14,7 @@
 	"github.com/urfave/cli/v3"
 
 	"pimentospread"
+	"pimentospread/keys"
 	"pimentospread/settings"
 )
 
@@ -33,6 +34,7 @@
 			&cli.StringSliceFlag{Name: "domain", Required: true, Usage: "failure `DOMAIN`s, given out in turn"},
 			&cli.StringFlag{Name: "platform", Required: true, Usage: "`URL` of the platform"},
 			&cli.StringFlag{Name: "fabric", Required: true, Usage: "`ADDRESS` of the fabric"},
+			&cli.StringFlag{Name: "keys", Usage: "`DIRECTORY` of the keys of the hosts; links are plain TCP without it"},
 			&cli.StringFlag{Name: "trace", Usage: "`DIRECTORY` of the traces; none are written without it"},
 		},
 		Action: func(_ context.Context, c *cli.Command) error { return writeSettings(c) },
@@ -55,6 +57,12 @@
 		s.Cell = pimentospread.Cell(c.String("cell"))
 		s.FailureDomain = pimentospread.FailureDomain(domains[i%len(domains)])
 		s.PlatformURL, s.FabricAddress, s.AdminToken = c.String("platform"), fabric, token
+		if d := c.String("keys"); d != "" {
+			s.PeerKeys = keys.Files{
+				CertificatePath: filepath.Join(d, string(s.Host)+".pem"), KeyPath: filepath.Join(d, string(s.Host)+".key"),
+				AuthorityPath: filepath.Join(d, "authority.pem"),
+			}
+		}
 		if d := c.String("trace"); d != "" {
 			s.TracePath = filepath.Join(d, string(s.Host)+".jsonl")
 		}
