Keep flow addresses in the table of a host that changes over

Cause: WithPrevious copied the choices and the targets, but neither the flow addresses, which the table has held since, nor the current epoch. After each release every packet of a known flow was dropped as newer_release, and Without found no target that stands in for an avoided one. Change: WithPrevious copies the whole table. The new test fails without the change. Conclusion: established flows survive a release again.

--- a/pool/previous.go
+++ b/pool/previous.go
@@ -1,12 +1,16 @@
 package pool
 
+import "slices"
+
 // WithPrevious returns the table with the old table's choices for new flows as
 // Previous. A host that goes from one release to a later one and skips those
 // between sends new flows by the release that it has activated, until every
 // live host has the later one.
 func (t *Table) WithPrevious(old *Table) *Table {
-	next := &Table{choices: make([]Choice, len(t.choices)), targets: t.targets}
-	copy(next.choices, t.choices)
+	// The whole table is copied, because flows are steered by the result alone.
+	whole := *t
+	next := &whole
+	next.choices = slices.Clone(t.choices)
 	if old == nil || len(old.choices) > len(next.choices) {
 		// A bucket of the smaller table covers several of the old one.
 		return next
--- a/pool/previous_test.go
+++ b/pool/previous_test.go
@@ -1,6 +1,7 @@
 package pool_test
 
 import (
+	"net/netip"
 	"testing"
 
 	"pimentospread"
@@ -34,3 +35,24 @@
 		t.Error("previous target does not exist any more")
 	}
 }
+
+// Guards against a table that loses the flow addresses, or the members that
+// stand in for a target that is down, when it takes the choices of an old one.
+func TestWithPreviousKeepsTargets(t *testing.T) {
+	address := netip.MustParseAddrPort("127.0.0.1:21000")
+	p := pool.Pool{
+		Name:    "p",
+		Targets: []pool.Target{{ID: 1, FlowAddress: address}, {ID: 2, FlowAddress: address}},
+		Epochs:  []pool.Epoch{{Members: []pimentospread.TargetID{1, 2}}},
+	}
+	table := pool.NewTable(p, 1)
+	next := table.WithPrevious(table)
+	for _, g := range p.Targets {
+		if got, ok := next.Address(g.ID); !ok || got != address {
+			t.Errorf("address of target %d: got %v %v, want %v", g.ID, got, ok, address)
+		}
+	}
+	if got := next.Without(0, map[pimentospread.TargetID]bool{1: true}); got != 2 {
+		t.Errorf("without target 1: got %d, want 2", got)
+	}
+}
