Run fault scenarios with real processes

Cause: no run showed the invariants under a paused host, racing operators, lost answers, a platform outage, two faults during a drain, silent flows or a cut between failure domains.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 LINT := bin/golangci-lint
 
-.PHONY: build test lint bench demo demo-office
+.PHONY: build test lint bench demo demo-office faults
 
 build:
 	go build -o bin/ ./cmd/...
@@ -27,3 +27,7 @@
 
 demo-office:
 	scripts/demo-office.sh
+
+# Takes some minutes of real time, so it is not part of test.
+faults:
+	scripts/faults.sh
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -18,6 +18,7 @@
 	"pimentospread/standin/ledger"
 	"pimentospread/standin/loopback"
 	"pimentospread/standin/platform"
+	"pimentospread/standin/relay"
 	"pimentospread/standin/target"
 )
 
@@ -38,6 +39,7 @@
 			ledger.Command(),
 			cell.SettingsCommand(),
 			cell.RosterCommand(),
+			relay.Command(),
 			loopback.CallCommand(),
 			loopback.ShowCommand(),
 		},
--- a/scripts/cell.sh
+++ b/scripts/cell.sh
@@ -12,6 +12,9 @@
 # Options of the fabric, such as "--loss 0.01 --duplicate 0.01".
 read -r -a FABRIC_OPTIONS <<<"${FABRIC_OPTIONS:-}"
 
+# Options of the roster, such as "--relay URL".
+ROSTER_OPTIONS=()
+
 RUN=$(mktemp -d)
 HOST_PROGRAM=${HOST_PROGRAM:-$RUN/bin/pimentospread}
 HOST_PIDS=()
@@ -118,7 +121,7 @@
     HOST_PIDS+=("$STARTED")
     logs+=(--log "$RUN/host-$i.err")
   done
-  job "$RUN/bin/standin" roster --cell "$CELL" --platform "$PLATFORM" "${logs[@]}" >"$RUN/roster.out"
+  job "$RUN/bin/standin" roster --cell "$CELL" --platform "$PLATFORM" "${ROSTER_OPTIONS[@]}" "${logs[@]}" >"$RUN/roster.out"
   for service in "${TARGETS[@]}"; do targets+=(--targets "$RUN/$service.out"); done
   standin set --set "$SET" "${targets[@]}" >"$RUN/set.json"
   change apply --file "$RUN/set.json"
--- a/standin/cell/roster.go
+++ b/standin/cell/roster.go
@@ -27,6 +27,7 @@
 			&cli.StringFlag{Name: "cell", Required: true, Usage: "`NAME` of the cell"},
 			&cli.StringFlag{Name: "platform", Required: true, Usage: "`URL` of the platform"},
 			&cli.StringSliceFlag{Name: "log", Required: true, Usage: "`FILE` with the log of a host; repeat for each"},
+			&cli.StringFlag{Name: "relay", Usage: "`URL` of the relay in front of the hosts; peers dial it when it is set"},
 			&cli.DurationFlag{Name: "wait", Value: 20 * time.Second, Usage: "`TIME` in which all hosts have to start"},
 		},
 		Action: run,
@@ -42,6 +43,13 @@
 		}
 		r.Hosts = append(r.Hosts, h)
 	}
+	if url := c.String("relay"); url != "" {
+		front, err := behind(ctx, url, r)
+		if err != nil {
+			return err
+		}
+		r = front
+	}
 	value, err := json.Marshal(r)
 	if err != nil {
 		return pimentospread.At(pimentospread.ErrInvalid.Wrap(err, "roster cannot be encoded"), "roster", "")
@@ -59,6 +67,23 @@
 	return loopback.Announce(c.Root().Writer, r)
 }
 
+// behind tells the relay the hosts and returns them with its addresses.
+func behind(ctx context.Context, url string, r member.Roster) (member.Roster, error) {
+	body, err := json.Marshal(r)
+	if err != nil {
+		return r, pimentospread.At(pimentospread.ErrInvalid.Wrap(err, "roster cannot be encoded"), "roster", "")
+	}
+	answer, err := loopback.NewClient(time.Second).Call(ctx, http.MethodPut, strings.TrimSuffix(url, "/")+"/roster", nil, body)
+	if err != nil {
+		return r, err
+	}
+	var front member.Roster
+	if err := json.Unmarshal(answer, &front); err != nil {
+		return r, pimentospread.At(pimentospread.ErrInvalid.Wrap(err, "roster of the relay"), "roster", url)
+	}
+	return front, nil
+}
+
 // startLine is the part of the first log line of a host that the roster needs.
 type startLine struct {
 	Message       string                      `json:"msg"`
--- a/standin/fabric/command.go
+++ b/standin/fabric/command.go
@@ -12,8 +12,12 @@
 	"pimentospread/duty"
 	"pimentospread/ring"
 	"pimentospread/standin/loopback"
+	"pimentospread/standin/owner"
 )
 
+// questionRoom is above the number of operators of one demo.
+const questionRoom = 16
+
 // probeTimeout is below the probe interval, so that a host that hangs counts as not ready at once.
 const probeTimeout = 200 * time.Millisecond
 
@@ -24,7 +28,7 @@
 		Usage: "hand the packets of callers and targets to random ready hosts",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "address", Value: "127.0.0.1:0", Usage: "loopback `ADDRESS` for VXLAN over UDP"},
-			&cli.StringFlag{Name: "admin", Value: "127.0.0.1:0", Usage: "loopback `ADDRESS` of GET /counts"},
+			&cli.StringFlag{Name: "admin", Value: "127.0.0.1:0", Usage: "loopback `ADDRESS` of GET /counts and PUT /forget"},
 			&cli.StringSliceFlag{Name: "host", Usage: "`DATA,ADMIN` addresses of a host; repeat for each"},
 			&cli.StringFlag{Name: "roster", Usage: "`URL` of the Roster object, instead of --host"},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the random choice"},
@@ -47,7 +51,8 @@
 		return err
 	}
 	counts := &Counts{}
-	admin, err := loopback.ListenHTTP(ctx, c.String("admin"), counts)
+	questions := owner.New[*Spray](questionRoom)
+	admin, err := loopback.ListenHTTP(ctx, c.String("admin"), newAdmin(counts, questions))
 	if err != nil {
 		return err
 	}
@@ -57,7 +62,7 @@
 		output: ring.New[Hosts](1, ring.DropOldest),
 	}
 	g := duty.NewGroup(ctx, log)
-	g.Go("packets", socket.Each(forward(spray, socket, probes.output)))
+	g.Go("packets", socket.Each(forward(spray, socket, probes.output, questions)))
 	g.Go("readiness", probes.run)
 	g.Go("admin", admin.Serve)
 	announcement := struct{ Address, Admin netip.AddrPort }{socket.Address(), admin.Address()}
@@ -67,12 +72,15 @@
 	return g.Wait()
 }
 
-func forward(spray *Spray, socket *loopback.Socket, hosts *ring.Ring[Hosts]) func(loopback.Received) {
+// forward answers questions between two packets, because the duty waits on the socket.
+func forward(spray *Spray, socket *loopback.Socket, hosts *ring.Ring[Hosts], questions *owner.Owner[*Spray]) func(loopback.Received) {
 	var to []netip.AddrPort
 	return func(r loopback.Received) {
 		select {
 		case h := <-hosts.Items():
 			spray.SetHosts(h)
+		case f := <-questions.Questions():
+			f(spray)
 		default:
 		}
 		to = spray.Route(to[:0], r.From, r.Data)
@@ -83,11 +91,35 @@
 	}
 }
 
+// newAdmin returns the counts and the switches of the stand-in.
+func newAdmin(counts *Counts, questions *owner.Owner[*Spray]) http.Handler {
+	m := http.NewServeMux()
+	m.Handle("GET /counts", counts)
+	m.HandleFunc("PUT /forget", func(w http.ResponseWriter, r *http.Request) {
+		var q struct{ OneIn int }
+		if !loopback.ReadJSON(w, r, &q) {
+			return
+		}
+		if q.OneIn < 1 {
+			http.Error(w, "OneIn must be at least 1", http.StatusBadRequest)
+			return
+		}
+		n, err := owner.Ask(r.Context(), questions, func(s *Spray) int { return s.Forget(q.OneIn) })
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		loopback.WriteJSON(w, http.StatusOK, struct{ Forgotten int }{n})
+	})
+	return m
+}
+
 // ServeHTTP answers with the counts.
 func (c *Counts) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	loopback.WriteJSON(w, http.StatusOK, map[string]uint64{
 		"FromCallers": c.FromCallers.Load(), "FromTargets": c.FromTargets.Load(), "FromHosts": c.FromHosts.Load(),
 		"Lost": c.Lost.Load(), "Duplicated": c.Duplicated.Load(),
 		"NoHost": c.NoHost.Load(), "NoCaller": c.NoCaller.Load(), "NotValid": c.NotValid.Load(),
+		"Forgotten": c.Forgotten.Load(),
 	})
 }
--- a/standin/fabric/spray.go
+++ b/standin/fabric/spray.go
@@ -25,6 +25,8 @@
 type Counts struct {
 	FromCallers, FromTargets, FromHosts          atomic.Uint64
 	Lost, Duplicated, NoHost, NoCaller, NotValid atomic.Uint64
+	// Forgotten are answers of targets to flows that the fabric has lost track of.
+	Forgotten atomic.Uint64
 }
 
 // Spray decides where a packet goes. One duty owns it.
@@ -34,7 +36,9 @@
 	loss, duplicate float64
 	hosts           Hosts
 	callers         map[netip.AddrPort]netip.AddrPort
-	counts          *Counts
+	// flows are the inner addresses that opened a flow; false when it is forgotten.
+	flows  map[netip.AddrPort]bool
+	counts *Counts
 }
 
 // Deps are what a Spray works with.
@@ -49,13 +53,27 @@
 func NewSpray(d Deps) *Spray {
 	return &Spray{
 		random: rand.New(rand.NewPCG(d.Seed, 0)), loss: d.Loss, duplicate: d.Duplicate,
-		callers: map[netip.AddrPort]netip.AddrPort{}, counts: d.Counts,
+		callers: map[netip.AddrPort]netip.AddrPort{}, flows: map[netip.AddrPort]bool{}, counts: d.Counts,
 	}
 }
 
 // SetHosts replaces the hosts.
 func (s *Spray) SetHosts(h Hosts) { s.hosts = h }
 
+// Forget loses track of one in so many of the open flows for good and returns
+// how many these are: answers of targets to them are dropped. Other flows and
+// new ones work.
+func (s *Spray) Forget(oneIn int) int {
+	n := 0
+	for a := range s.flows {
+		if b := a.Addr().As16(); int(b[15])%oneIn == 0 {
+			s.flows[a] = false
+			n++
+		}
+	}
+	return n
+}
+
 // Route appends the addresses to which the datagram goes: none when it is
 // lost, two when it is duplicated.
 func (s *Spray) Route(to []netip.AddrPort, from netip.AddrPort, data []byte) []netip.AddrPort {
@@ -92,10 +110,17 @@
 		return caller, ok
 	case d.Source != 0:
 		s.counts.FromTargets.Add(1)
+		if known, opened := s.flows[d.To]; opened && !known {
+			s.counts.Forgotten.Add(1)
+			return netip.AddrPort{}, false
+		}
 	default:
 		s.counts.FromCallers.Add(1)
 		if _, known := s.callers[d.From]; known || len(s.callers) < maxCallers {
 			s.callers[d.From] = from
+			if _, opened := s.flows[d.From]; d.Protocol == packet.TCP && !opened {
+				s.flows[d.From] = true
+			}
 		}
 	}
 	if len(s.hosts.Ready) == 0 {
--- a/standin/fabric/spray_test.go
+++ b/standin/fabric/spray_test.go
@@ -78,3 +78,27 @@
 		}
 	}
 }
+
+// Guards against a fabric that forgets new flows as well, or that keeps the
+// resets of hosts from the callers of forgotten flows.
+func TestForgetDropsAnswersOfTargets(t *testing.T) {
+	counts := &fabric.Counts{}
+	s := fabric.NewSpray(fabric.Deps{Seed: 1, Counts: counts})
+	s.SetHosts(fabric.Hosts{Known: map[netip.AddrPort]bool{hostA: true}, Ready: []netip.AddrPort{hostA}})
+	s.Route(nil, outerCaller, frame(t, packet.Header{}, caller, service))
+	if got := s.Forget(1); got != 1 {
+		t.Fatalf("forgot %d flows, want 1", got)
+	}
+	down := packet.Header{Service: 1, Source: 2}
+	if got := s.Route(nil, target, frame(t, down, service, caller)); len(got) != 0 {
+		t.Errorf("answer to a forgotten flow: got %v", got)
+	}
+	if got := s.Route(nil, hostA, frame(t, packet.Header{}, service, caller)); len(got) != 1 || got[0] != outerCaller {
+		t.Errorf("reset of a host: got %v, want %v", got, outerCaller)
+	}
+	next := netip.AddrPortFrom(caller.Addr(), caller.Port()+1)
+	s.Route(nil, outerCaller, frame(t, packet.Header{}, next, service))
+	if got := s.Route(nil, target, frame(t, down, service, next)); len(got) != 1 {
+		t.Errorf("answer to a new flow: got %v", got)
+	}
+}
