Wait for an answer before asking peers about a silent flow

Cause: the first packet after a pause of a flow that was only quiet counted as the second packet without an answer, because the one before it was the acknowledgement of an answer that passed another host. The peers were asked before the target could answer, and the caller got a reset. Change: a host asks 4 s after the packet that made the flow suspect, and only if no answer came; peers look back at least 6 s. After an answer seen by a peer the silence counts from then on, without another packet to begin it. The new test case fails without the change.

--- a/decide/flows.go
+++ b/decide/flows.go
@@ -168,6 +168,7 @@
 	f.ticked = now
 	f.expireBatches(now, a)
 	f.walkOn(now, a)
+	f.askSilent(now, a)
 	f.flush(now, a)
 }
 
--- a/decide/mail.go
+++ b/decide/mail.go
@@ -168,7 +168,7 @@
 	case kindQuery:
 		return &flow.RecordQuery{Batch: n, Flows: flows}
 	case kindSilence:
-		return &flow.SilenceQuery{Batch: n, Within: f.silence.within, Flows: flows}
+		return &flow.SilenceQuery{Batch: n, Within: max(f.silence.within, minWithin), Flows: flows}
 	default:
 		return &flow.RecordHandover{Batch: n, Records: records}
 	}
--- a/decide/rules_test.go
+++ b/decide/rules_test.go
@@ -75,11 +75,14 @@
 	cases := map[string]struct {
 		answersAt int // Host that sees the answers; -1 for none.
 		packets   bool
-		want      int
+		// resumed flows send a packet after the pause, and its answer passes another host.
+		resumed bool
+		want    int
 	}{
-		"no answer at any host":  {-1, true, 1},
-		"answer at another host": {1, true, 0},
-		"quiet flow":             {-1, false, 0},
+		"no answer at any host":  {-1, true, false, 1},
+		"answer at another host": {1, true, false, 0},
+		"quiet flow":             {-1, false, false, 0},
+		"packet after a pause":   {-1, false, true, 0},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -92,8 +95,17 @@
 			}
 			l.sendTo(0, answerOf(p, forwards[0]))
 			got := 0
-			for range 60 {
-				l.sendTo(0, answerOf(other, forwards[0]))
+			if c.resumed {
+				l.sendTo(0, p) // The acknowledgement of the last answer.
+			}
+			for i := range 60 {
+				_, _, _, resets := l.sendTo(0, answerOf(other, forwards[0]))
+				got += resets
+				if c.resumed && i == 52 {
+					_, _, _, resets = l.sendTo(0, p)
+					got += resets
+					l.sendTo(1, answerOf(p, forwards[0]))
+				}
 				if c.answersAt >= 0 {
 					l.sendTo(c.answersAt, answerOf(p, forwards[0]))
 				}
--- a/decide/silence.go
+++ b/decide/silence.go
@@ -8,20 +8,36 @@
 	"pimentospread/flow"
 )
 
-// silenceRate is the number of flows a second that a host asks about.
-const silenceRate = 50
+const (
+	// silenceRate is the number of flows a second that a host asks about.
+	silenceRate = 50
+	// confirmAfter is the time in which an answer may still come to the packet
+	// that makes a flow suspect. It is the first one after a pause when the flow
+	// was only quiet. The time covers its retransmissions after 1 and 3 s (RFC 6298).
+	confirmAfter = 4 * time.Second
+	// minWithin is above confirmAfter by the time of the question and the rounding to seconds.
+	minWithin = uint32(confirmAfter/time.Second) + 2
+)
 
 // silence finds flows whose answers have stopped.
 type silence struct {
 	// within is the time in seconds in which an answer must have been seen.
 	within uint32
 	asked  map[pimentospread.FlowID]*silentFlow
+	// suspects are the flows of asked that no peer was asked about yet, oldest first.
+	suspects []suspect
 	// heard is the time of the last answer packet of each target.
 	heard    map[pimentospread.TargetID]uint32
 	budget   float64
 	filledAt time.Time
 }
 
+// suspect is a flow about which the peers are asked when it is due.
+type suspect struct {
+	flow pimentospread.FlowID
+	due  time.Time
+}
+
 // silentFlow is a flow that peers are asked about.
 type silentFlow struct {
 	packet  flow.Packet
@@ -35,9 +51,9 @@
 	return silence{asked: map[pimentospread.FlowID]*silentFlow{}, heard: map[pimentospread.TargetID]uint32{}}
 }
 
-// unanswered counts a packet to the target and asks the peers when it has gone
-// without an answer for too long.
-func (f *Flows) unanswered(now time.Time, s *ServiceView, e *flow.Entry, p flow.Packet, raw []byte, a *FlowActions) {
+// unanswered counts a packet to the target. A flow that has gone without an
+// answer for too long becomes suspect.
+func (f *Flows) unanswered(now time.Time, s *ServiceView, e *flow.Entry, p flow.Packet, raw []byte) {
 	if !e.Has(flow.SentOnce) {
 		e.Unanswered = e.Seen
 		e.Marks |= flow.SentOnce
@@ -50,20 +66,35 @@
 	if p.SYN || p.RST || !e.Has(flow.Confirmed) || !f.alive(e) || f.silence.asked[p.ID] != nil || !f.takeSilence(now) {
 		return
 	}
-	q := &silentFlow{packet: p, raw: slices.Clone(raw)}
-	f.silence.asked[p.ID] = q
+	f.silence.asked[p.ID] = &silentFlow{packet: p, raw: slices.Clone(raw)}
+	f.silence.suspects = append(f.silence.suspects, suspect{p.ID, now.Add(confirmAfter)})
+}
+
+// askSilent asks the peers about the suspect flows that are due.
+func (f *Flows) askSilent(now time.Time, a *FlowActions) {
+	q := &f.silence
+	for len(q.suspects) > 0 && !now.Before(q.suspects[0].due) {
+		f.askPeers(q.suspects[0].flow, a)
+		q.suspects = q.suspects[1:]
+	}
+}
+
+func (f *Flows) askPeers(id pimentospread.FlowID, a *FlowActions) {
+	q := f.silence.asked[id]
+	if e := f.flows.Get(id); e == nil || !e.Has(flow.SentAgain) {
+		delete(f.silence.asked, id)
+		return
+	}
 	for _, h := range f.holders.hosts {
 		if h.id != f.view.Self {
 			q.waiting++
 			o := f.mail.box(h.id)
-			o.flows[kindSilence] = append(o.flows[kindSilence], p.ID)
+			o.flows[kindSilence] = append(o.flows[kindSilence], id)
 		}
 	}
 	if q.waiting == 0 {
-		f.silenceVerdict(p.ID, q, a)
-		return
+		f.silenceVerdict(id, q, a)
 	}
-	f.flush(now, a)
 }
 
 // alive reports whether the target of a flow answers other flows.
@@ -136,7 +167,8 @@
 		return
 	}
 	if q.seen || !f.alive(e) {
-		e.Marks &^= flow.SentOnce | flow.SentAgain
+		// The answer may be older than the silence, so the time counts from here.
+		e.Unanswered = e.Seen
 		return
 	}
 	f.stats.Resets++
--- a/decide/steer.go
+++ b/decide/steer.go
@@ -97,7 +97,7 @@
 		e.Marks |= flow.ClosedByCaller
 	}
 	a.Forwards = append(a.Forwards, Forward{Service: p.Service, Target: e.Target, Address: address, Packet: raw})
-	f.unanswered(now, s, e, p, raw, a)
+	f.unanswered(now, s, e, p, raw)
 }
 
 // noTarget drops a packet whose target this host does not know.
