--- a/host/build.go
+++ b/host/build.go
@@ -41,10 +41,15 @@
 		return pimentospread.At(pimentospread.ErrInvalid.Wrap(err, "PlatformURL is not a URL"), "build", "")
 	}
 	store := platform.NewClient(platform.Deps{Base: base})
+	peerKeys, err := h.openKeys()
+	if err != nil {
+		return err
+	}
 	route := h.newRouter()
 	h.network = peer.NewNetwork(peer.Deps{
 		Self: h.settings.Host, Incarnation: h.incarnation, Listener: h.sockets.peer,
 		Registry: Messages(), Inbox: route, Metrics: h.metrics, Log: h.log,
+		Keys: peerKeys,
 	})
 	views := h.newViews()
 	reports := ring.New[pimentospread.LoadReport](h.settings.RingCapacity, ring.DropOldest)
@@ -159,7 +164,7 @@
 		reports: reports, views: views[number], control: h.control, progress: h.progress,
 		attempts: attempts, replies: h.sender.out, ended: ended, peers: h.network,
 		closing: ring.New[struct{}](1, ring.DropOldest),
-		encoder: h.newReplyEncoder(), drops: newDropCounters(h.metrics),
+		encoder: h.newReplyEncoder(), drops: newDropCounters(h.metrics), outcomes: newOutcomeCounters(h.metrics),
 		decider: engine.NewRequests(engine.RequestsDeps{
 			Self: h.settings.Host, Incarnation: h.incarnation, Started: h.started,
 			Seed: h.seed, Metrics: h.metrics,
--- a/host/recording.go
+++ b/host/recording.go
@@ -2,18 +2,15 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"pimentospread"
 	"pimentospread/decide"
-	"pimentospread/peer"
 	"pimentospread/request"
 	"pimentospread/trace"
 )
 
-// frameLength is the size of the length in front of a frame.
-const frameLength = 4
-
 // recording adds the inputs of one decider to the trace. Without a recorder it does nothing.
 type recording struct {
 	recorder *trace.Recorder
@@ -45,11 +42,13 @@
 	if r.recorder == nil {
 		return
 	}
-	frame, err := peer.Encode(in.From, in.Incarnation, in.Message)
+	body, err := json.Marshal(in.Message)
 	if err != nil {
 		return
 	}
-	r.add(ctx, now, trace.Event{Peer: &trace.Peer{From: in.From, Incarnation: in.Incarnation, Frame: frame[frameLength:]}})
+	r.add(ctx, now, trace.Event{Peer: &trace.Peer{
+		From: in.From, Incarnation: in.Incarnation, Kind: in.Message.MessageKind(), Body: body,
+	}})
 }
 
 func (r *recording) view(ctx context.Context, now time.Time, v *decide.View) {
--- a/pool/previous.go
+++ b/pool/previous.go
@@ -7,13 +7,11 @@
 // between sends new flows by the release that it has activated, until every
 // live host has the later one.
 func (t *Table) WithPrevious(old *Table) *Table {
-	// The whole table is copied, because flows are steered by the result alone.
-	whole := *t
-	next := &whole
+	next := *t
 	next.choices = slices.Clone(t.choices)
 	if old == nil || len(old.choices) > len(next.choices) {
 		// A bucket of the smaller table covers several of the old one.
-		return next
+		return &next
 	}
 	mask := len(old.choices) - 1
 	for i := range next.choices {
@@ -22,5 +20,5 @@
 			next.choices[i].Previous = c
 		}
 	}
-	return next
+	return &next
 }
--- a/replay/player.go
+++ b/replay/player.go
@@ -3,6 +3,7 @@
 package replay
 
 import (
+	"encoding/json"
 	"net/netip"
 
 	"pimentospread"
@@ -194,10 +195,13 @@
 }
 
 func (p *Player) inbound(e trace.Event) (pimentospread.Inbound, error) {
-	in, _, err := p.registry.Decode(e.Peer.Frame)
-	if err != nil {
-		return in, err
+	construct, ok := p.registry[e.Peer.Kind]
+	if !ok {
+		return pimentospread.Inbound{}, pimentospread.At(pimentospread.ErrInvalid.New("message kind %q is not known", e.Peer.Kind), "replay", string(e.Host))
+	}
+	m := construct()
+	if err := json.Unmarshal(e.Peer.Body, m); err != nil {
+		return pimentospread.Inbound{}, pimentospread.At(pimentospread.ErrInvalid.Wrap(err, "message %s cannot be read", e.Peer.Kind), "replay", string(e.Host))
 	}
-	in.From, in.Incarnation = e.Peer.From, e.Peer.Incarnation
-	return in, nil
+	return pimentospread.Inbound{From: e.Peer.From, Incarnation: e.Peer.Incarnation, Message: m}, nil
 }
