--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 LINT := bin/golangci-lint
 
-.PHONY: build test lint bench capacity demo demo-office
+.PHONY: build test lint bench capacity demo demo-office faults
 
 build:
 	go build -o bin/ ./cmd/...
@@ -35,3 +35,7 @@
 
 demo-office:
 	scripts/demo-office.sh
+
+# Takes some minutes of real time, so it is not part of test.
+faults:
+	scripts/faults.sh
