Do not count wrong requests against their target

Cause: a 4.xx of a target lowered its limit like a failure, so a caller with wrong requests could close a sound target at a host. Change: 4.xx is an answer kind of its own and gives the slot back as done.

--- a/coap/answer.go
+++ b/coap/answer.go
@@ -27,6 +27,8 @@
 		m.Code = codes.ServiceUnavailable
 	case request.Failed:
 		m.Code = codes.InternalServerError
+	case request.Rejected:
+		m.Code = codes.BadRequest
 	default:
 		return nil, failed("answer kind %d has no response code", a.Kind)
 	}
@@ -34,7 +36,8 @@
 }
 
 // DecodeAnswer reads an answer of a target. Only 5.03 proves that the request
-// did not run; every other error counts as one that the target ran into. The error is a Cause.
+// did not run; 4.xx finds the request wrong, and every other error counts as
+// one that the target ran into. The error is a Cause.
 func DecodeAnswer(data []byte, target netip.AddrPort) (request.Answer, error) {
 	m, err := parse(data)
 	if err != nil {
@@ -62,6 +65,8 @@
 	switch {
 	case m.Code>>5 == 2:
 		a.Kind = request.Done
+	case m.Code>>5 == 4:
+		a.Kind = request.Rejected
 	case m.Code == codes.ServiceUnavailable:
 		a.Kind = request.Shed
 	}
--- a/coap/coap_test.go
+++ b/coap/coap_test.go
@@ -162,7 +162,7 @@
 			t.Errorf("outcome %d: got %d, %v", want, got.Outcome, err)
 		}
 	}
-	for _, want := range []request.AnswerKind{request.Shed, request.Failed} {
+	for _, want := range []request.AnswerKind{request.Shed, request.Failed, request.Rejected} {
 		wire, err := e.EncodeAnswer(request.Answer{Kind: want})
 		if err != nil {
 			t.Fatal(err)
--- a/decide/requests_answer.go
+++ b/decide/requests_answer.go
@@ -30,7 +30,12 @@
 		r.answerShed(now, e, answer, actions)
 	default:
 		e.Error, e.Answer = answer.Part, request.Assembly{}
-		r.release(now, answer.Attempt, pimentospread.ResultFailed)
+		result := pimentospread.ResultFailed
+		if answer.Kind == request.Rejected {
+			// Callers with wrong requests must not lower the limit of a sound target.
+			result = pimentospread.ResultDone
+		}
+		r.release(now, answer.Attempt, result)
 		r.finish(now, e, request.TargetFailed, "target reports an error", actions)
 	}
 	r.dispatch(now, a.service, actions)
--- a/decide/requests_fakes_test.go
+++ b/decide/requests_fakes_test.go
@@ -55,10 +55,11 @@
 
 // slots is a Placement with a fixed number of slots at each target.
 type slots struct {
-	free   map[pimentospread.TargetID]int
-	order  []pimentospread.TargetID
-	budget int
-	random *rand.Rand
+	results []pimentospread.Result
+	free    map[pimentospread.TargetID]int
+	order   []pimentospread.TargetID
+	budget  int
+	random  *rand.Rand
 }
 
 func (s *slots) Pick(_ time.Time, _ pimentospread.ServiceID, excluded []pimentospread.TargetID) (pimentospread.TargetID, bool) {
@@ -73,7 +74,8 @@
 	return 0, false
 }
 
-func (s *slots) Finish(_ time.Time, t pimentospread.TargetID, _ pimentospread.Result, _ time.Duration) {
+func (s *slots) Finish(_ time.Time, t pimentospread.TargetID, result pimentospread.Result, _ time.Duration) {
+	s.results = append(s.results, result)
 	s.free[t]++
 }
 
--- a/decide/requests_test.go
+++ b/decide/requests_test.go
@@ -159,3 +159,19 @@
 		t.Errorf("retry went to target %d again, or a slot is still taken", d.Attempts[1].Target)
 	}
 }
+
+// Guards against callers with wrong requests who lower the limit of a sound target.
+func TestOnlyTheTargetsOwnErrorsCountAgainstIt(t *testing.T) {
+	tests := map[request.AnswerKind]pimentospread.Result{
+		request.Failed:   pimentospread.ResultFailed,
+		request.Rejected: pimentospread.ResultDone,
+	}
+	for kind, want := range tests {
+		d := newDesk()
+		d.transfer(1, self)
+		d.answer(0, 0, kind, request.Part{})
+		if diff := cmp.Diff([]pimentospread.Result{want}, d.slots.results); diff != "" {
+			t.Errorf("kind %d: %s", kind, diff)
+		}
+	}
+}
--- a/request/request.go
+++ b/request/request.go
@@ -54,8 +54,10 @@
 	Done AnswerKind = iota
 	// Shed means that the target refused before it started.
 	Shed
-	// Failed means that the target ran the request and reports an error.
+	// Failed means that the target ran the request and reports an error of its own.
 	Failed
+	// Rejected means that the target finds the request wrong. It says nothing of the target's health.
+	Rejected
 )
 
 // Answer is one message from a target about an attempt.
