--- a/decide/flows.go
+++ b/decide/flows.go
@@ -167,7 +167,6 @@
 	f.noticePause(now)
 	f.ticked = now
 	f.expireBatches(now, a)
-	f.passSilent(now, a)
 	f.walkOn(now, a)
 	f.flush(now, a)
 }
--- a/decide/mail.go
+++ b/decide/mail.go
@@ -11,8 +11,6 @@
 const (
 	// answerWithin is the time in which a holder answers.
 	answerWithin = 200 * time.Millisecond
-	// askOthersAfter is the silence of the first holder after which the others are asked.
-	askOthersAfter = 50 * time.Millisecond
 	// batchInterval is the least time between two messages of a kind to one
 	// peer. The first one goes out at once.
 	batchInterval = 200 * time.Millisecond
@@ -57,8 +55,6 @@
 	batches map[flow.Batch]*batch
 	// open has the batches in the order of sending.
 	open []flow.Batch
-	// queries has the batches of questions whose flows may have holders that were not asked.
-	queries []flow.Batch
 }
 
 // outbox is what waits for one peer.
@@ -161,9 +157,6 @@
 		b := &batch{host: host, kind: kind, flows: flows, records: records, remaining: uint32(n), due: now.Add(answerWithin)}
 		m.batches[number] = b
 		m.open = append(m.open, number)
-		if kind == kindQuery {
-			m.queries = append(m.queries, number)
-		}
 	}
 	a.Peers = append(a.Peers, pimentospread.Outbound{To: host, Message: f.message(kind, number, records, flows)})
 }
@@ -221,23 +214,6 @@
 	}
 }
 
-// passSilent asks the other holders of the flows whose first holder is silent.
-func (f *Flows) passSilent(now time.Time, a *FlowActions) {
-	m := &f.mail
-	for len(m.queries) > 0 {
-		b := m.batches[m.queries[0]]
-		if b != nil && now.Before(b.due.Add(askOthersAfter-answerWithin)) {
-			return
-		}
-		if b != nil {
-			for _, id := range b.flows {
-				f.askOthers(now, id, a)
-			}
-		}
-		m.queries = m.queries[1:]
-	}
-}
-
 // lostHosts stops waiting for hosts that are no longer live.
 func (f *Flows) lostHosts(now time.Time, a *FlowActions) {
 	m := &f.mail
--- a/decide/pending.go
+++ b/decide/pending.go
@@ -44,8 +44,6 @@
 	answerMissed
 	// answerLost holders are no longer live, so their answer is not needed.
 	answerLost
-	// answerUnasked holders are asked only when the first one has no record or is silent.
-	answerUnasked
 )
 
 type heldPacket struct {
@@ -101,9 +99,7 @@
 	f.flush(now, a)
 }
 
-// ask asks the first holder of a flow for its record. A host that records a
-// flow writes to that holder before the SYN goes out, so the others are needed
-// only when the live hosts have changed since.
+// ask asks the holders of a flow for its record.
 func (f *Flows) ask(now time.Time, p flow.Packet, raw []byte, a *FlowActions) {
 	h, ok := f.hold(p, raw, askedHolders, a)
 	if !ok {
@@ -114,43 +110,17 @@
 		if x := &h.answers[i]; x.host == f.view.Self {
 			r, _ := f.lookUp(now, p.ID, p.Service)
 			x.state, x.target = answerGiven, r.Target
-		} else {
-			x.state = answerUnasked
 		}
 	}
 	if f.decide(now, p.ID, h, a) {
 		return
 	}
-	if first := &h.answers[0]; first.state == answerUnasked {
-		first.state = answerWaiting
-		f.mail.box(first.host).ask(p.ID)
-	} else {
-		f.askOthers(now, p.ID, a)
-	}
-	f.flush(now, a)
-}
-
-// askOthers asks the holders of a flow that were not asked yet.
-func (f *Flows) askOthers(now time.Time, id pimentospread.FlowID, a *FlowActions) {
-	h := f.pending.flows[id]
-	if h == nil || h.target != 0 {
-		return
-	}
-	lost := false
 	for i := range h.answers {
-		x := &h.answers[i]
-		switch {
-		case x.state != answerUnasked:
-		case f.holders.has(x.host):
-			x.state = answerWaiting
-			f.mail.box(x.host).ask(id)
-		default:
-			x.state, lost = answerLost, true
+		if x := &h.answers[i]; x.state == answerWaiting {
+			f.mail.box(x.host).ask(p.ID)
 		}
 	}
-	if lost {
-		f.decide(now, id, h, a)
-	}
+	f.flush(now, a)
 }
 
 // answered takes the word of one holder about a flow that waits.
@@ -164,9 +134,7 @@
 			h.answers[i] = x
 		}
 	}
-	if !f.decide(now, id, h, a) {
-		f.askOthers(now, id, a)
-	}
+	f.decide(now, id, h, a)
 }
 
 // decide settles a held flow when its holders have said enough, and reports whether it did.
@@ -252,7 +220,7 @@
 		if x.state == answerGiven && x.target != 0 {
 			return x.target, "", true
 		}
-		waiting = waiting || x.state == answerWaiting || x.state == answerUnasked
+		waiting = waiting || x.state == answerWaiting
 		missed = missed || x.state == answerMissed
 	}
 	if waiting {
