Give all metrics the product's prefix

Cause: half of the metrics began with the name of a package, so they mixed with those of other programs in one collection.

--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -40,9 +40,9 @@
 		cuts:     map[pimentospread.Result]pimentospread.Counter{},
 	}
 	if deps.Metrics != nil {
-		l.cuts[pimentospread.ResultShed] = deps.Metrics.Counter(`admission_limit_cuts_total{cause="shed"}`)
-		l.cuts[pimentospread.ResultTimeout] = deps.Metrics.Counter(`admission_limit_cuts_total{cause="timeout"}`)
-		l.cuts[pimentospread.ResultFailed] = deps.Metrics.Counter(`admission_limit_cuts_total{cause="fast failure"}`)
+		l.cuts[pimentospread.ResultShed] = deps.Metrics.Counter(`pimentospread_admission_limit_cuts_total{cause="shed"}`)
+		l.cuts[pimentospread.ResultTimeout] = deps.Metrics.Counter(`pimentospread_admission_limit_cuts_total{cause="timeout"}`)
+		l.cuts[pimentospread.ResultFailed] = deps.Metrics.Counter(`pimentospread_admission_limit_cuts_total{cause="fast failure"}`)
 	}
 	return l
 }
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -58,7 +58,7 @@
 		return counters
 	}
 	for _, r := range []string{ReasonNoService, ReasonNoClass, ReasonFull, ReasonCallerFull, ReasonWait, ReasonExpired, ReasonPushedOut} {
-		counters[r] = m.Counter(`admission_refusals_total{reason="` + r + `"}`)
+		counters[r] = m.Counter(`pimentospread_admission_refusals_total{reason="` + r + `"}`)
 	}
 	return counters
 }
--- a/control/controller.go
+++ b/control/controller.go
@@ -78,15 +78,15 @@
 		loads:     ring.New[ViewLoaded](loadsPerDecider*max(1, len(d.Views)), ring.DropOldest),
 		builds:    ring.New[*Build](1, ring.DropOldest),
 		questions: ring.New[statusQuestion](questionCapacity, ring.Refuse),
-		invalid:   d.Metrics.Counter(`control_releases_invalid_total`),
+		invalid:   d.Metrics.Counter(`pimentospread_control_releases_invalid_total`),
 	}
 	for range probeWorkers {
 		c.probes = append(c.probes, ring.New[pool.Target](probeCapacity, ring.DropOldest))
 	}
 	c.latest.Store(&decide.View{})
-	d.Metrics.Gauge("control_generation", func() float64 { return float64(c.latest.Load().Generation()) })
-	d.Metrics.Gauge("control_live_hosts", func() float64 { return float64(len(c.latest.Load().Live)) })
-	d.Metrics.Gauge("control_flagged_targets", func() float64 { return float64(len(c.latest.Load().Flagged)) })
+	d.Metrics.Gauge("pimentospread_control_generation", func() float64 { return float64(c.latest.Load().Generation()) })
+	d.Metrics.Gauge("pimentospread_control_live_hosts", func() float64 { return float64(len(c.latest.Load().Live)) })
+	d.Metrics.Gauge("pimentospread_control_flagged_targets", func() float64 { return float64(len(c.latest.Load().Flagged)) })
 	return c
 }
 
@@ -198,7 +198,7 @@
 		}
 	}
 	for _, n := range a.Anomalies {
-		c.deps.Metrics.Counter(fmt.Sprintf("control_anomalies_total{kind=%q}", n)).Add(1)
+		c.deps.Metrics.Counter(fmt.Sprintf("pimentospread_control_anomalies_total{kind=%q}", n)).Add(1)
 		c.deps.Log.Warn("anomaly", "kind", n)
 	}
 }
--- a/keys/store.go
+++ b/keys/store.go
@@ -52,9 +52,9 @@
 		return nil, pimentospread.At(pimentospread.ErrInvalid.New("links between hosts need an authority file"), "load keys", "")
 	}
 	s.current.Store(first)
-	s.failures = d.Metrics.Counter(fmt.Sprintf("keys_reload_failures_total{use=%q}", d.Use))
-	s.reloads = d.Metrics.Counter(fmt.Sprintf("keys_reloads_total{use=%q}", d.Use))
-	d.Metrics.Gauge(fmt.Sprintf("keys_certificate_expiry_seconds{use=%q}", d.Use), func() float64 {
+	s.failures = d.Metrics.Counter(fmt.Sprintf("pimentospread_keys_reload_failures_total{use=%q}", d.Use))
+	s.reloads = d.Metrics.Counter(fmt.Sprintf("pimentospread_keys_reloads_total{use=%q}", d.Use))
+	d.Metrics.Gauge(fmt.Sprintf("pimentospread_keys_certificate_expiry_seconds{use=%q}", d.Use), func() float64 {
 		return float64(s.current.Load().certificate.Leaf.NotAfter.Unix())
 	})
 	return s, nil
--- a/keys/store_test.go
+++ b/keys/store_test.go
@@ -193,9 +193,9 @@
 	}
 	for _, step := range steps {
 		write(t, directory, step.pair, step.authorities...)
-		failures := m[`keys_reload_failures_total{use="peer"}`]
+		failures := m[`pimentospread_keys_reload_failures_total{use="peer"}`]
 		client := s.PeerClient("a")
-		if loads := m[`keys_reload_failures_total{use="peer"}`] == failures; loads != step.loads {
+		if loads := m[`pimentospread_keys_reload_failures_total{use="peer"}`] == failures; loads != step.loads {
 			t.Errorf("%s: loads %t, want %t", step.name, loads, step.loads)
 		}
 		fromClient, fromServer := shake(t, client, s.PeerServer())
@@ -203,7 +203,7 @@
 			t.Errorf("%s: client %v, server %v", step.name, fromClient, fromServer)
 		}
 	}
-	if got := m[`keys_reloads_total{use="peer"}`]; got != 4 {
+	if got := m[`pimentospread_keys_reloads_total{use="peer"}`]; got != 4 {
 		t.Errorf("%d reloads, want 4", got)
 	}
 }
--- a/peer/metrics.go
+++ b/peer/metrics.go
@@ -35,21 +35,21 @@
 		handshakes:    map[side]pimentospread.Counter{},
 	}
 	for _, d := range []side{accepting, dialing} {
-		s.handshakes[d] = m.Counter(fmt.Sprintf("peer_handshakes_total{side=%q}", d))
+		s.handshakes[d] = m.Counter(fmt.Sprintf("pimentospread_peer_handshakes_total{side=%q}", d))
 		s.refused[d] = map[keys.Cause]pimentospread.Counter{}
 		for _, c := range keys.Causes() {
-			s.refused[d][c] = m.Counter(fmt.Sprintf("peer_refused_connections_total{side=%q,cause=%q}", d, c))
+			s.refused[d][c] = m.Counter(fmt.Sprintf("pimentospread_peer_refused_connections_total{side=%q,cause=%q}", d, c))
 		}
 	}
 	for kind := range r {
-		s.bytesSent[kind] = m.Counter(fmt.Sprintf("peer_sent_bytes_total{kind=%q}", kind))
-		s.bytesReceived[kind] = m.Counter(fmt.Sprintf("peer_received_bytes_total{kind=%q}", kind))
+		s.bytesSent[kind] = m.Counter(fmt.Sprintf("pimentospread_peer_sent_bytes_total{kind=%q}", kind))
+		s.bytesReceived[kind] = m.Counter(fmt.Sprintf("pimentospread_peer_received_bytes_total{kind=%q}", kind))
 	}
 	for _, c := range []Cause{CauseLength, CauseEnvelope, CauseKind, CauseBody, CauseInvalid, CauseSender} {
-		s.causes[c] = m.Counter(fmt.Sprintf("peer_malformed_total{cause=%q}", c))
+		s.causes[c] = m.Counter(fmt.Sprintf("pimentospread_peer_malformed_total{cause=%q}", c))
 	}
 	for _, c := range []string{"no_peer", "encode", "inbox", "unreachable"} {
-		s.drops[c] = m.Counter(fmt.Sprintf("peer_dropped_total{cause=%q}", c))
+		s.drops[c] = m.Counter(fmt.Sprintf("pimentospread_peer_dropped_total{cause=%q}", c))
 	}
 	return s
 }
--- a/peer/network_test.go
+++ b/peer/network_test.go
@@ -118,7 +118,7 @@
 	if m := exchange(t, a, b, "b"); m.From != "a" || m.Incarnation != 1 {
 		t.Errorf("message of %q, incarnation %d, want a and 1", m.From, m.Incarnation)
 	}
-	sent, received := a.metrics.value(`peer_sent_bytes_total{kind="Heartbeat"}`), b.metrics.value(`peer_received_bytes_total{kind="Heartbeat"}`)
+	sent, received := a.metrics.value(`pimentospread_peer_sent_bytes_total{kind="Heartbeat"}`), b.metrics.value(`pimentospread_peer_received_bytes_total{kind="Heartbeat"}`)
 	if sent == 0 || received == 0 {
 		t.Errorf("%d bytes counted as sent and %d as received", sent, received)
 	}
@@ -151,7 +151,7 @@
 	if _, err := c.Read(make([]byte, 1)); err == nil {
 		t.Error("the connection stays open")
 	}
-	if got := n.metrics.value(`peer_malformed_total{cause="envelope"}`); got != 1 {
+	if got := n.metrics.value(`pimentospread_peer_malformed_total{cause="envelope"}`); got != 1 {
 		t.Errorf("%d malformed envelopes counted, want 1", got)
 	}
 }
--- a/peer/secure_test.go
+++ b/peer/secure_test.go
@@ -124,7 +124,7 @@
 	if n := b.inbox.Len(); n != 0 {
 		t.Errorf("%d more messages arrived, want none", n)
 	}
-	if got := b.metrics.value(`peer_malformed_total{cause="sender"}`); got != 1 {
+	if got := b.metrics.value(`pimentospread_peer_malformed_total{cause="sender"}`); got != 1 {
 		t.Errorf("%d frames of another sender counted, want 1", got)
 	}
 }
@@ -145,12 +145,12 @@
 			t.Fatal(err)
 		}
 	}
-	await(t, b, `peer_refused_connections_total{side="accept",cause="authority"}`)
-	await(t, a, `peer_refused_connections_total{side="dial",cause="remote"}`)
-	await(t, b, `peer_refused_connections_total{side="dial",cause="authority"}`)
-	await(t, a, `peer_refused_connections_total{side="accept",cause="remote"}`)
-	await(t, b, `peer_refused_connections_total{side="dial",cause="protocol"}`)
-	await(t, plain, `peer_malformed_total{cause="length"}`)
+	await(t, b, `pimentospread_peer_refused_connections_total{side="accept",cause="authority"}`)
+	await(t, a, `pimentospread_peer_refused_connections_total{side="dial",cause="remote"}`)
+	await(t, b, `pimentospread_peer_refused_connections_total{side="dial",cause="authority"}`)
+	await(t, a, `pimentospread_peer_refused_connections_total{side="accept",cause="remote"}`)
+	await(t, b, `pimentospread_peer_refused_connections_total{side="dial",cause="protocol"}`)
+	await(t, plain, `pimentospread_peer_malformed_total{cause="length"}`)
 	if n := a.inbox.Len() + b.inbox.Len() + plain.inbox.Len(); n != 0 {
 		t.Errorf("%d messages arrived, want none", n)
 	}
@@ -163,7 +163,7 @@
 	if err := a.network.SetPeers(t.Context(), map[pimentospread.HostID]netip.AddrPort{"b": netip.MustParseAddrPort("192.0.2.1:9")}); err != nil {
 		t.Fatal(err)
 	}
-	await(t, a, `peer_refused_connections_total{side="dial",cause="plain"}`)
+	await(t, a, `pimentospread_peer_refused_connections_total{side="dial",cause="plain"}`)
 }
 
 // TestRotationKeepsMessages guards against messages lost when keys are rotated
@@ -191,7 +191,7 @@
 				func() { keysA.issue(second); keysB.issue(second) },
 				func() { keysA.trust(second); keysB.trust(second) },
 			}
-			const handshakes = `peer_handshakes_total{side="accept"}`
+			const handshakes = `pimentospread_peer_handshakes_total{side="accept"}`
 			for sequence := uint64(1000); len(rotation) > 0 || b.metrics.value(handshakes) < tt.handshakes; sequence++ {
 				if len(rotation) > 0 {
 					rotation[0]()
@@ -201,7 +201,7 @@
 			}
 			refused := 0
 			for _, c := range keys.Causes() {
-				refused += b.metrics.value(`peer_refused_connections_total{side="accept",cause="` + string(c) + `"}`)
+				refused += b.metrics.value(`pimentospread_peer_refused_connections_total{side="accept",cause="` + string(c) + `"}`)
 			}
 			if got := b.metrics.value(handshakes); refused != 0 || tt.renewAfter == time.Hour && got != tt.handshakes {
 				t.Errorf("%d handshakes, %d refused, want %d and none", got, refused, tt.handshakes)
--- a/scripts/faults/outage.sh
+++ b/scripts/faults/outage.sh
@@ -25,7 +25,7 @@
 log "a change is refused: $(cat "$RUN/publish.err")"
 pause 3
 # Each transfer or bid that the new host takes needs claims of its own.
-served=$(call "http://$(admin 5)/metrics" | awk '$1 == "peer_sent_bytes_total{kind=\"Claim\"}" { n = $2 } END { print n + 0 }')
+served=$(call "http://$(admin 5)/metrics" | awk '$1 == "pimentospread_peer_sent_bytes_total{kind=\"Claim\"}" { n = $2 } END { print n + 0 }')
 if [ "$served" = 0 ]; then fault "the new host has taken no request"; fi
 log "the platform is back"
 platform_faults '{}'
