Announce what a record says when the message leaves

Two hosts took copies of one SYN while they changed over, the holders were corrected within 30 ms, but one had queued an announcement with the old target. It left 2 s later for a new holder, which kept the old target for good and gave it to every host that asked. Change: announcements, handovers and recent flows are looked up again when their message is built; a flow that is gone is left out.

--- a/decide/mail.go
+++ b/decide/mail.go
@@ -151,6 +151,13 @@
 	flows := slices.Clone(o.flows[kind][:min(n, len(o.flows[kind]))])
 	o.records[kind] = slices.Delete(o.records[kind], 0, len(records))
 	o.flows[kind] = slices.Delete(o.flows[kind], 0, len(flows))
+	if kind.announces() {
+		records = f.refresh(records)
+		n = len(records)
+	}
+	if n == 0 {
+		return
+	}
 	var number flow.Batch
 	if kind != kindForce && kind != kindAnnounce {
 		number = m.number()
@@ -161,6 +168,31 @@
 	a.Peers = append(a.Peers, pimentospread.Outbound{To: host, Message: f.message(kind, number, records, flows)})
 }
 
+// announces reports whether a message of the kind tells what this host knows,
+// not what it asks for.
+func (k batchKind) announces() bool {
+	return k == kindRecent || k == kindHandover || k == kindAnnounce
+}
+
+// refresh returns the records with what this host knows now. An announcement
+// can wait for seconds; if its record was corrected meanwhile, another holder
+// would keep the old target for good.
+func (f *Flows) refresh(records flow.Records) flow.Records {
+	kept := records[:0]
+	for _, r := range records {
+		e := f.records.Get(r.Flow)
+		if e == nil || e.Service != r.Service {
+			e = f.flows.Get(r.Flow)
+		}
+		if e == nil || e.Service != r.Service {
+			continue
+		}
+		r.Target = e.Target
+		kept = append(kept, r)
+	}
+	return kept
+}
+
 func (f *Flows) message(kind batchKind, n flow.Batch, records flow.Records, flows flow.IDs) pimentospread.Message {
 	switch kind {
 	case kindPut, kindForce:
--- a/decide/rules_test.go
+++ b/decide/rules_test.go
@@ -179,3 +179,27 @@
 		}
 	}
 }
+
+// Guards against an announcement that waits while its record is corrected: the
+// holder that then gets the old target keeps it and misleads every host that asks.
+func TestAnnouncementTellsTheCorrectedRecord(t *testing.T) {
+	l := newLoad(2)
+	f := l.hosts[0]
+	peer := f.holders.hosts[0].id
+	if peer == f.view.Self {
+		peer = f.holders.hosts[1].id
+	}
+	record := func(id pimentospread.FlowID, target pimentospread.TargetID) flow.Record {
+		return flow.Record{Flow: id, Service: 1, Target: target}
+	}
+	f.keep(l.now, record(7, 2), keepNew)
+	f.mail.box(peer).put(record(7, 2), kindAnnounce)
+	f.mail.box(peer).put(record(8, 2), kindAnnounce)
+	f.keep(l.now, record(7, 3), keepForced)
+	var a FlowActions
+	f.send(l.now, peer, kindAnnounce, &a)
+	want := []pimentospread.Outbound{{To: peer, Message: &flow.RecordHandover{Records: flow.Records{record(7, 3)}}}}
+	if diff := cmp.Diff(want, a.Peers); diff != "" {
+		t.Error(diff)
+	}
+}
