Let the rank of holders decide between records

A holder that only the question reaches still had the record of an earlier SYN, answered before the first holder, and won.

--- a/decide/pending.go
+++ b/decide/pending.go
@@ -212,19 +212,21 @@
 	return target, "", true
 }
 
-// found tells which target a flow has: that of any record, or none when every
-// live holder that was asked has none.
+// found tells which target a flow has: that of the first record in the order of
+// the holders' rank, or none when every live holder that was asked has none.
+// A lower ranked holder can have an older record that the writers of the
+// current one did not know of, so its word waits for those above it.
 func (h *heldFlow) found() (pimentospread.TargetID, DropCause, bool) {
-	waiting, missed := false, false
+	missed := false
 	for _, x := range h.answers {
-		if x.state == answerGiven && x.target != 0 {
+		switch {
+		case x.state == answerWaiting:
+			return 0, "", false
+		case x.state == answerGiven && x.target != 0:
 			return x.target, "", true
+		case x.state == answerMissed:
+			missed = true
 		}
-		waiting = waiting || x.state == answerWaiting
-		missed = missed || x.state == answerMissed
-	}
-	if waiting {
-		return 0, "", false
 	}
 	if missed {
 		return 0, DropNoAnswer, true
