Replay the end of a shutdown as the host runs it

A replay started the handover with every view of a leaving host, the host only with the first; the end of the grace was not recorded, while an event that nothing wrote was read; the map of addresses was built in two places. Change: the replay leaves once and closes what is left; the unused event is gone; control.ByAddress serves both.

--- a/control/build.go
+++ b/control/build.go
@@ -55,7 +55,8 @@
 	return pool.NewTable(p, seed)
 }
 
-func byAddress(services map[pimentospread.ServiceID]*decide.ServiceView) map[netip.AddrPort]pimentospread.ServiceID {
+// ByAddress finds the service of each address.
+func ByAddress(services map[pimentospread.ServiceID]*decide.ServiceView) map[netip.AddrPort]pimentospread.ServiceID {
 	all := map[netip.AddrPort]pimentospread.ServiceID{}
 	for id, s := range services {
 		for _, a := range s.Service.Addresses {
--- a/control/generations.go
+++ b/control/generations.go
@@ -58,7 +58,7 @@
 		return
 	}
 	g.inUse, g.services = e.Content, e.Services
-	g.addresses = byAddress(e.Services)
+	g.addresses = ByAddress(e.Services)
 }
 
 // activate lets new flows go by the prepared generation when every live peer
--- a/host/recording.go
+++ b/host/recording.go
@@ -86,6 +86,12 @@
 	}
 }
 
+func (r *recording) closing(ctx context.Context, now time.Time) {
+	if r.recorder != nil {
+		r.add(ctx, now, trace.Event{Close: &struct{}{}})
+	}
+}
+
 func (r *recording) tick(ctx context.Context, now time.Time) {
 	if r.recorder != nil {
 		r.add(ctx, now, trace.Event{Tick: &struct{}{}})
--- a/host/requests.go
+++ b/host/requests.go
@@ -79,7 +79,9 @@
 		case <-count.C:
 			r.outcomes.update(r.decider.Stats())
 		case <-r.closing.Items():
-			r.decider.Close(r.clock.Now(), &r.actions)
+			now := r.clock.Now()
+			r.recording.closing(ctx, now)
+			r.decider.Close(now, &r.actions)
 		case <-ticker.C:
 			now := r.clock.Now()
 			r.recording.tick(ctx, now)
--- a/replay/player.go
+++ b/replay/player.go
@@ -42,6 +42,7 @@
 	// active are the services of the last view by which new flows went.
 	active    map[pimentospread.ServiceID]*decide.ServiceView
 	addresses map[netip.AddrPort]pimentospread.ServiceID
+	leaving   bool
 }
 
 // NewPlayer returns a player for messages of the given kinds.
@@ -68,10 +69,6 @@
 	if !ok {
 		return pimentospread.At(pimentospread.ErrInvalid.New("event before the start of host %q", e.Host), "replay", string(e.Host))
 	}
-	if e.Stop != nil {
-		delete(p.hosts, e.Host)
-		return nil
-	}
 	if e.Decider < 0 || int(e.Decider) >= len(h.configurations) {
 		return pimentospread.At(pimentospread.ErrInvalid.New("host %q has no decider %d", e.Host, e.Decider), "replay", string(e.Host))
 	}
@@ -98,9 +95,9 @@
 	d := h.flows[e.Decider]
 	switch {
 	case e.View != nil:
-		v := h.configurations[e.Decider].view(h.id, e.View)
+		v, leaves := h.configurations[e.Decider].view(h.id, e.View)
 		d.Configure(e.At, v, &h.flowOut)
-		if v.Leaving {
+		if leaves {
 			d.Leave(e.At, &h.flowOut)
 		}
 	case e.Packet != nil:
@@ -123,9 +120,9 @@
 	d := h.requests
 	switch {
 	case e.View != nil:
-		v := h.configurations[e.Decider].view(h.id, e.View)
+		v, leaves := h.configurations[e.Decider].view(h.id, e.View)
 		d.Configure(e.At, v, &h.out)
-		if v.Leaving {
+		if leaves {
 			d.Leave(e.At, &h.out)
 		}
 	case e.Request != nil:
@@ -138,6 +135,8 @@
 		if a, ok := h.answers.translate(*e.Answer); ok {
 			p.answer(h, e, a)
 		}
+	case e.Close != nil:
+		d.Close(e.At, &h.out)
 	case e.Report != nil:
 		l := e.Report.LoadReport
 		l.Target, l.At = e.Report.Target, e.Report.At
@@ -176,22 +175,20 @@
 	}
 }
 
-// view makes the view that the decider had, with the tables of its release.
-func (c *configuration) view(self pimentospread.HostID, v *trace.View) *decide.View {
+// view makes the view that the decider had, with the tables of its release. It
+// reports true for the first view with which the host leaves.
+func (c *configuration) view(self pimentospread.HostID, v *trace.View) (*decide.View, bool) {
 	if v.Release != nil {
 		built := (&control.Build{Content: &control.Content{Release: v.Release}, Services: c.active}).Run()
 		c.release, c.services = v.Release, built.Services
-		c.addresses = map[netip.AddrPort]pimentospread.ServiceID{}
-		for id, s := range c.services {
-			for _, a := range s.Service.Addresses {
-				c.addresses[a] = id
-			}
-		}
+		c.addresses = control.ByAddress(c.services)
 	}
 	if v.Active {
 		c.active = c.services
 	}
-	return v.Decide(self, c.release, c.services, c.addresses)
+	leaves := v.Leaving && !c.leaving
+	c.leaving = v.Leaving
+	return v.Decide(self, c.release, c.services, c.addresses), leaves
 }
 
 func (p *Player) inbound(e trace.Event) (pimentospread.Inbound, error) {
--- a/trace/event.go
+++ b/trace/event.go
@@ -34,7 +34,8 @@
 	Report  *Report          `json:"Report,omitempty"`
 	Peer    *Peer            `json:"Peer,omitempty"`
 	Tick    *struct{}        `json:"Tick,omitempty"`
-	Stop    *struct{}        `json:"Stop,omitempty"`
+	// Close ends what the requests decider has left when the grace of a shutdown is over.
+	Close *struct{} `json:"Close,omitempty"`
 }
 
 // Start is the start of a host.
