Steer packets by the token of their target on the users' platform

Cause: the users' machines stand before a platform whose packets carry a field that the system may write and that both ends repeat, and whose store has another protocol than the object API that the client spoke.

Change: the client speaks the platform's store (/v1/objects: create, replace, list in pages, watch of a kind). Package platform also holds the packet codec and the decoding of registrations and configurations. New aggregates directory, routing and steer decide; package front runs the duties; settings choose the encapsulation. The stand-in serves the store's protocol beside its own. The host's log is written by a duty of its own to standard output.

The faults of settings are reported in the order of the fields, as before.

--- /dev/null
+++ b/directory/directory.go
@@ -0,0 +1,249 @@
+// Package directory holds what the platform says of the targets of a host's
+// services: which exist, which drain, and which have gone.
+package directory
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"pimentospread"
+)
+
+// Config bounds what a directory remembers.
+type Config struct {
+	// DepartedFor is how long a target that has gone stays known, so that the
+	// packets of its flows still reach it if it lives. It is the longest life of a flow.
+	DepartedFor time.Duration
+	// ReturnGrace is how long entries that are missing after the platform was
+	// away are kept. Targets that live register again within this time.
+	ReturnGrace time.Duration
+}
+
+// Directory is the set of registrations at one revision of the platform. It
+// never goes back to an earlier revision.
+type Directory struct {
+	config   Config
+	revision pimentospread.ObjectVersion
+	entries  map[pimentospread.RegistrationName]entry
+	departed map[pimentospread.Token]departed
+	// graceUntil is the end of the time in which missing entries are kept.
+	graceUntil time.Time
+}
+
+type entry struct {
+	registration pimentospread.Registration
+	warmUntil    time.Time
+	// missing says that the platform no longer has the entry, and that the grace still runs.
+	missing bool
+}
+
+type departed struct {
+	registration pimentospread.Registration
+	until        time.Time
+}
+
+// Update is the state of registrations, or what changed in it.
+type Update struct {
+	// Full says that the update has every registration. Otherwise it has what
+	// changed after From.
+	Full bool
+	From pimentospread.ObjectVersion
+	// Revision is the revision of the platform after the update.
+	Revision pimentospread.ObjectVersion
+	// Present holds new and changed registrations.
+	Present []pimentospread.Registration
+	// Removed holds names that are gone or whose entry is unreadable.
+	Removed []pimentospread.RegistrationName
+}
+
+// What tells how the belief about a target changed.
+type What string
+
+// Changes of belief.
+const (
+	Added     What = "added"
+	Restarted What = "restarted"
+	Draining  What = "draining"
+	Ready     What = "ready"
+	Missing   What = "missing"
+	Returned  What = "returned"
+	Gone      What = "gone"
+)
+
+// Change is one change of belief about a target.
+type Change struct {
+	Registration pimentospread.Registration
+	What         What
+}
+
+// New returns an empty directory.
+func New(c Config) *Directory {
+	return &Directory{
+		config:   c,
+		entries:  map[pimentospread.RegistrationName]entry{},
+		departed: map[pimentospread.Token]departed{},
+	}
+}
+
+// Revision returns the revision of the platform that the directory is at. Zero means none yet.
+func (d *Directory) Revision() pimentospread.ObjectVersion { return d.revision }
+
+// Covers reports whether the update can be applied: it is full, or it begins at
+// or before the directory's revision.
+func (d *Directory) Covers(u Update) bool { return u.Full || u.From <= d.revision && d.revision > 0 }
+
+// PlatformReturned says that the platform was away for long enough for entries to
+// lapse although their targets live.
+func (d *Directory) PlatformReturned(now time.Time) { d.graceUntil = now.Add(d.config.ReturnGrace) }
+
+// Apply takes an update. An update that is older than the directory, or that
+// leaves a gap, changes nothing.
+func (d *Directory) Apply(now time.Time, u Update) []Change {
+	if u.Revision < d.revision || !d.Covers(u) {
+		return nil
+	}
+	d.revision = u.Revision
+	var changes []Change
+	present := make(map[pimentospread.RegistrationName]bool, len(u.Present))
+	for _, r := range u.Present {
+		present[r.Name] = true
+		changes = d.put(changes, now, r)
+	}
+	for _, name := range u.Removed {
+		changes = d.remove(changes, now, name)
+	}
+	if u.Full {
+		for _, name := range d.names() {
+			if !present[name] {
+				changes = d.remove(changes, now, name)
+			}
+		}
+	}
+	return changes
+}
+
+func (d *Directory) put(changes []Change, now time.Time, r pimentospread.Registration) []Change {
+	old, known := d.entries[r.Name]
+	if known && old.registration == r && !old.missing {
+		// A list repeats what is known; its warm-up counts from the report, not from the list.
+		return changes
+	}
+	d.entries[r.Name] = entry{registration: r, warmUntil: now.Add(r.Warmup)}
+	delete(d.departed, r.Token())
+	switch {
+	case !known:
+		return append(changes, Change{r, Added})
+	case old.registration.Token() != r.Token():
+		d.depart(now, old.registration)
+		return append(changes, Change{r, Restarted})
+	case old.missing:
+		return append(changes, Change{r, Returned})
+	case old.registration.Draining != r.Draining && r.Draining:
+		return append(changes, Change{r, Draining})
+	case old.registration.Draining != r.Draining:
+		return append(changes, Change{r, Ready})
+	}
+	return changes
+}
+
+func (d *Directory) remove(changes []Change, now time.Time, name pimentospread.RegistrationName) []Change {
+	e, known := d.entries[name]
+	if !known || e.missing {
+		return changes
+	}
+	if now.Before(d.graceUntil) && !e.registration.Draining {
+		e.missing = true
+		d.entries[name] = e
+		return append(changes, Change{e.registration, Missing})
+	}
+	return d.drop(changes, now, e.registration)
+}
+
+func (d *Directory) drop(changes []Change, now time.Time, r pimentospread.Registration) []Change {
+	delete(d.entries, r.Name)
+	d.depart(now, r)
+	return append(changes, Change{r, Gone})
+}
+
+func (d *Directory) depart(now time.Time, r pimentospread.Registration) {
+	d.departed[r.Token()] = departed{r, now.Add(d.config.DepartedFor)}
+}
+
+// Tick ends the grace of missing entries and forgets targets that went long ago.
+func (d *Directory) Tick(now time.Time) []Change {
+	for t, gone := range d.departed {
+		if now.After(gone.until) {
+			delete(d.departed, t)
+		}
+	}
+	if now.Before(d.graceUntil) {
+		return nil
+	}
+	var changes []Change
+	for _, name := range d.names() {
+		if e := d.entries[name]; e.missing {
+			changes = d.drop(changes, now, e.registration)
+		}
+	}
+	return changes
+}
+
+// Next returns when Tick has something to do, or the zero time.
+func (d *Directory) Next() time.Time {
+	var next time.Time
+	for _, gone := range d.departed {
+		if next.IsZero() || gone.until.Before(next) {
+			next = gone.until
+		}
+	}
+	for _, e := range d.entries {
+		if e.missing && (next.IsZero() || d.graceUntil.Before(next)) {
+			next = d.graceUntil
+		}
+	}
+	return next
+}
+
+// Target is a target as the directory believes it to be.
+type Target struct {
+	Registration pimentospread.Registration
+	Token        pimentospread.Token
+	// WarmUntil is the end of the time in which the target is slow after its start.
+	WarmUntil time.Time
+	// Departed says that the target has gone; only its flows are still steered to it.
+	Departed bool
+}
+
+// Targets returns all targets in the order of their names, those that have gone last.
+func (d *Directory) Targets() []Target {
+	targets := make([]Target, 0, len(d.entries)+len(d.departed))
+	for _, name := range d.names() {
+		e := d.entries[name]
+		targets = append(targets, Target{Registration: e.registration, Token: e.registration.Token(), WarmUntil: e.warmUntil})
+	}
+	for t, gone := range d.departed {
+		targets = append(targets, Target{Registration: gone.registration, Token: t, Departed: true})
+	}
+	return targets
+}
+
+// Snapshot returns the registrations as a full update, for a host that knows nothing.
+func (d *Directory) Snapshot() Update {
+	u := Update{Full: true, Revision: d.revision, Present: make([]pimentospread.Registration, 0, len(d.entries))}
+	for _, name := range d.names() {
+		if e := d.entries[name]; !e.missing {
+			u.Present = append(u.Present, e.registration)
+		}
+	}
+	return u
+}
+
+func (d *Directory) names() []pimentospread.RegistrationName {
+	names := make([]pimentospread.RegistrationName, 0, len(d.entries))
+	for name := range d.entries {
+		names = append(names, name)
+	}
+	slices.SortFunc(names, func(a, b pimentospread.RegistrationName) int { return strings.Compare(string(a), string(b)) })
+	return names
+}
--- a/errors.go
+++ b/errors.go
@@ -19,6 +19,7 @@
 	ErrInvalid     = Namespace.NewType("invalid")
 	ErrRefused     = Namespace.NewType("refused")
 	ErrClosed      = Namespace.NewType("closed")
+	ErrExpired     = Namespace.NewType("expired")
 )
 
 // Properties that an error carries.
--- /dev/null
+++ b/front/events.go
@@ -0,0 +1,42 @@
+// Package front runs an entry host whose packets carry the token of their
+// target. It starts the duties and joins them by rings.
+package front
+
+import (
+	"time"
+
+	"pimentospread"
+	"pimentospread/directory"
+)
+
+// event is what the belief duty hears.
+type event interface{ isEvent() }
+
+// targetsHeard is an update of the registrations.
+type targetsHeard struct {
+	update directory.Update
+	// unreadable names entries that could not be read, with the reason.
+	unreadable []unreadableEntry
+}
+
+type unreadableEntry struct {
+	name   pimentospread.RegistrationName
+	reason error
+}
+
+// configurationHeard is a configuration as operators wrote it.
+type configurationHeard struct {
+	configuration pimentospread.Configuration
+}
+
+// contact says whether a call to the platform was answered.
+type contact struct {
+	kind pimentospread.ObjectKind
+	at   time.Time
+	// err is nil when the platform answered, which proves that all changes up to then were told.
+	err error
+}
+
+func (targetsHeard) isEvent()       {}
+func (configurationHeard) isEvent() {}
+func (contact) isEvent()            {}
--- /dev/null
+++ b/front/front.go
@@ -0,0 +1,190 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/netip"
+	"net/url"
+	"runtime/debug"
+
+	"pimentospread"
+	"pimentospread/directory"
+	"pimentospread/duty"
+	"pimentospread/feed"
+	"pimentospread/platform"
+	"pimentospread/ring"
+	"pimentospread/routing"
+	"pimentospread/settings"
+	"pimentospread/steer"
+	"pimentospread/telemetry"
+	"pimentospread/udp"
+)
+
+// eventCapacity is more than the events of one second: each watch gives a few,
+// and a change of all targets at once is one event.
+const eventCapacity = 256
+
+// Deps are the dependencies of a Front.
+type Deps struct {
+	Settings settings.Settings
+	Clock    pimentospread.Clock
+	Log      *telemetry.Log
+	Metrics  *telemetry.Registry
+	// Feed reads the platform. Nil means a client of the settings' platform.
+	Feed pimentospread.ObjectFeed
+}
+
+// Front is an entry host for packets with tokens: its sockets and its duties.
+type Front struct {
+	settings settings.Settings
+	clock    pimentospread.Clock
+	logDuty  *telemetry.Log
+	log      *slog.Logger
+	metrics  *telemetry.Registry
+	sockets  sockets
+
+	steering *steering
+	belief   *belief
+	watchers []*watcher
+	health   *health
+}
+
+var _ pimentospread.Front = (*Front)(nil)
+
+// sockets are the addresses at which a front listens.
+type sockets struct {
+	data         *udp.Socket
+	ready, admin net.Listener
+}
+
+// New opens the sockets and builds the duties. Run starts them.
+func New(d Deps) (*Front, error) {
+	f := &Front{settings: d.Settings, clock: d.Clock, logDuty: d.Log, metrics: d.Metrics}
+	f.log = d.Log.With("host", d.Settings.Host, "failure_domain", d.Settings.FailureDomain)
+	limitMemory(d.Settings.MemoryLimitMB)
+	if d.Feed == nil {
+		base, err := url.Parse(d.Settings.PlatformURL)
+		if err != nil {
+			return nil, pimentospread.At(pimentospread.ErrInvalid.Wrap(err, "PlatformURL is not a URL"), "build", "")
+		}
+		d.Feed = platform.NewClient(platform.Deps{Base: base, Timeout: listTimeout})
+	}
+	if err := f.open(); err != nil {
+		f.close()
+		return nil, err
+	}
+	f.build(d.Feed)
+	return f, nil
+}
+
+// memoryShare is the part of the memory limit that the heap may take. The rest
+// is for stacks, sockets and the program itself.
+const memoryShare = 0.6
+
+func limitMemory(megabytes int) {
+	if megabytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(megabytes) * (1 << 20)))
+	}
+}
+
+func (f *Front) open() error {
+	var err error
+	if f.sockets.data, err = udp.Listen(f.settings.DataAddress); err != nil {
+		return err
+	}
+	if f.sockets.ready, err = listenTCP(f.settings.ReadyAddress); err != nil {
+		return err
+	}
+	f.sockets.admin, err = listenTCP(f.settings.AdminAddress)
+	return err
+}
+
+func listenTCP(address netip.AddrPort) (net.Listener, error) {
+	var config net.ListenConfig
+	l, err := config.Listen(context.Background(), "tcp4", address.String())
+	if err != nil {
+		return nil, pimentospread.At(pimentospread.ErrUnavailable.Wrap(err, "TCP address cannot be used"), "listen", address.String())
+	}
+	return l, nil
+}
+
+func (f *Front) close() {
+	var err error
+	if f.sockets.data != nil {
+		err = errors.Join(err, f.sockets.data.Close())
+	}
+	for _, l := range []net.Listener{f.sockets.ready, f.sockets.admin} {
+		if l != nil {
+			err = errors.Join(err, l.Close())
+		}
+	}
+	if err != nil && !errors.Is(err, net.ErrClosed) {
+		f.log.Debug("socket not closed", "error", err)
+	}
+}
+
+func (f *Front) build(objects pimentospread.ObjectFeed) {
+	s := f.settings
+	events := ring.New[event](eventCapacity, ring.Wait)
+	views := ring.New[*steer.View](1, ring.DropOldest)
+	f.steering = &steering{
+		socket: f.sockets.data, clock: f.clock, views: views, log: f.log,
+		steerer: steer.New(), counters: newCounters(f.metrics),
+		callerPort: f.sockets.data.Address().Port(), logShare: pimentospread.FlowID(s.FlowLogShare),
+	}
+	f.belief = &belief{
+		clock: f.clock, log: f.log, events: events, views: views,
+		domain:  s.FailureDomain,
+		weights: steer.Weights{Remote: float64(s.RemoteWeight), Cold: float64(s.ColdWeight)},
+		table:   routing.New(),
+		directory: directory.New(directory.Config{
+			DepartedFor: s.FlowLifetime.Duration, ReturnGrace: s.ReturnGrace.Duration,
+		}),
+		contacts: map[pimentospread.ObjectKind]*contactState{},
+	}
+	f.addWatcher(objects, platform.KindConfiguration, translateConfiguration)
+	f.addWatcher(objects, platform.KindTargets, translateTargets)
+	f.health = newHealth(f)
+}
+
+func (f *Front) addWatcher(objects pimentospread.ObjectFeed, kind pimentospread.ObjectKind, translate translation) {
+	f.watchers = append(f.watchers, &watcher{
+		kind: kind, feed: objects, clock: f.clock, events: f.belief.events, translate: translate,
+		cursor: feed.NewCursor(feed.CursorConfig{
+			Wait: f.settings.PlatformWait.Duration, Relist: relistInterval, FirstRetry: firstRetry, LastRetry: lastRetry,
+		}),
+		active: ring.New[bool](1, ring.DropOldest), calls: f.metrics, log: f.log,
+	})
+}
+
+// Run starts all duties, waits for the context to end, and shuts down.
+func (f *Front) Run(ctx context.Context) error {
+	// The log outlives all other duties, so that their last lines are written.
+	logging, endLog := context.WithCancel(context.WithoutCancel(ctx))
+	defer endLog()
+	logs := duty.NewGroup(logging, f.log)
+	logs.Go("log", f.logDuty.Run)
+	// The duties outlive ctx, which only says that the shutdown begins.
+	g := duty.NewGroup(context.WithoutCancel(ctx), f.log)
+	g.Go("steer", f.steering.run)
+	g.Go("belief", f.belief.run)
+	for _, w := range f.watchers {
+		g.Go("watch "+string(w.kind), w.run)
+	}
+	g.Go("ready", func(ctx context.Context) error { return f.health.serve(ctx, f.sockets.ready) })
+	g.Go("admin", func(ctx context.Context) error { return f.health.serve(ctx, f.sockets.admin) })
+	f.log.Info("host started", "data", f.sockets.data.Address(), "ready", f.settings.ReadyAddress, "admin", f.settings.AdminAddress, "platform", f.settings.PlatformURL)
+	select {
+	case <-ctx.Done():
+		f.shutDown(g.Context())
+	case <-g.Context().Done():
+	}
+	g.Stop()
+	f.close()
+	err := g.Wait()
+	f.log.Info("host stopped")
+	endLog()
+	return errors.Join(err, logs.Wait())
+}
--- /dev/null
+++ b/front/steering.go
@@ -0,0 +1,139 @@
+package front
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"pimentospread"
+	"pimentospread/platform"
+	"pimentospread/ring"
+	"pimentospread/steer"
+	"pimentospread/udp"
+)
+
+// steering is the duty that receives packets, decides on them and sends them
+// on. One duty does all three, because a packet then costs one wake-up and no
+// copy; the decision itself is in package steer.
+type steering struct {
+	socket   *udp.Socket
+	clock    pimentospread.Clock
+	views    *ring.Ring[*steer.View]
+	steerer  *steer.Steerer
+	counters *counters
+	log      *slog.Logger
+	// callerPort is the port of callers to which resets go.
+	callerPort uint16
+	// logShare is the number of flows of which one is logged.
+	logShare pimentospread.FlowID
+	// lastPacket is the time of the last packet in nanoseconds since the Unix epoch, for the shutdown.
+	lastPacket atomic.Int64
+	buffer     platform.Buffer
+}
+
+func (s *steering) run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() {
+		if err := s.socket.Close(); err != nil {
+			s.log.Debug("socket not closed", "error", err)
+		}
+	})
+	defer stop()
+	for {
+		n, from, err := s.socket.Receive(s.buffer.Room())
+		if errorx.IsOfType(err, pimentospread.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			s.counters.receiveFailed.Add(1)
+			s.log.Warn("datagram not received", "peer", from, "error", err)
+			continue
+		}
+		s.takeView()
+		s.handle(n)
+	}
+}
+
+// takeView takes the newest view without waiting; the duty waits on the socket.
+func (s *steering) takeView() {
+	select {
+	case v := <-s.views.Items():
+		s.steerer.SetView(v)
+	default:
+	}
+}
+
+func (s *steering) handle(n int) {
+	now := s.clock.Now()
+	s.lastPacket.Store(now.UnixNano())
+	p, err := s.buffer.Decode(n)
+	if err != nil {
+		s.counters.malformed(err)
+		return
+	}
+	a := s.steerer.Steer(now, p)
+	s.counters.action(a)
+	s.note(now, p, a)
+	switch a.Kind {
+	case steer.Forward:
+		s.send(s.buffer.ForTarget(a.Instance, p.Opens, a.Target), a.Address)
+	case steer.Reset:
+		s.send(s.buffer.Reset(p), netip.AddrPortFrom(p.Key.Caller.Addr(), s.callerPort))
+	}
+}
+
+func (s *steering) send(datagram []byte, to netip.AddrPort) {
+	if err := s.socket.Send(datagram, to); err != nil {
+		s.counters.sendFailed.Add(1)
+		s.log.Warn("datagram not sent", "peer", to, "error", err)
+	}
+}
+
+// note logs the decisions that explain what became of a flow: the first and
+// the last of each flow of the sample, and every unusual one.
+func (s *steering) note(now time.Time, p steer.Packet, a steer.Action) {
+	usual := a.Kind == steer.Forward && (a.Cause == steer.CauseToken || a.Cause == steer.CauseRank) && p.Copy == 0
+	sampled := (p.Opens || p.Ends || p.Resets) && p.Key.ID()%s.logShare == 0
+	if usual && !sampled {
+		return
+	}
+	v := s.steerer.View()
+	attributes := []slog.Attr{
+		slog.String("flow", FlowName(p.Key)), slog.String("packet", packetName(p)),
+		slog.String("action", a.Kind.String()), slog.String("cause", string(a.Cause)),
+		slog.Uint64("token", uint64(p.Token)),
+	}
+	if a.Kind == steer.Forward {
+		attributes = append(attributes, slog.String("target", string(a.Name)), slog.String("address", a.Address.String()))
+	}
+	if v != nil {
+		attributes = append(attributes,
+			slog.Uint64("configuration", uint64(v.Version)), slog.Uint64("revision", uint64(v.Revision)),
+			slog.Duration("age", v.Age(now)), slog.Int("targets", v.Targets()))
+	}
+	s.log.LogAttrs(context.Background(), slog.LevelInfo, "flow", attributes...)
+}
+
+// FlowName is the name of a flow in the log: the caller's address and the service's.
+func FlowName(k pimentospread.FlowKey) string { return k.Caller.String() + ">" + k.Service.String() }
+
+func packetName(p steer.Packet) string {
+	switch {
+	case p.Opens && p.Copy > 0:
+		return fmt.Sprintf("open, copy %d", p.Copy)
+	case p.Opens:
+		return "open"
+	case p.Resets:
+		return "reset"
+	case p.Ends:
+		return "end"
+	case p.Length > 0:
+		return "data"
+	default:
+		return "ack"
+	}
+}
--- a/host/build.go
+++ b/host/build.go
@@ -78,7 +78,7 @@
 	return member.Host{
 		ID: h.settings.Host, FailureDomain: h.settings.FailureDomain, State: member.Live,
 		PeerAddress: addressOf(h.sockets.peer), AdminAddress: addressOf(h.sockets.admin),
-		DataAddress: h.sockets.data.address(),
+		DataAddress: h.sockets.data.Address(),
 	}
 }
 
@@ -195,7 +195,7 @@
 		Release: h.reporter.release,
 		Status:  h.control.Status,
 		Burn:    h.reporter.hostBurn,
-		Metrics: h.metrics.write,
+		Metrics: h.metrics.Write,
 		Ready:   func(context.Context) bool { return h.control.Latest().Ready },
 	})
 }
--- a/host/host.go
+++ b/host/host.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"io"
 	"log/slog"
 	"math/rand/v2"
@@ -19,7 +20,9 @@
 	"pimentospread/peer"
 	"pimentospread/ring"
 	"pimentospread/settings"
+	"pimentospread/telemetry"
 	"pimentospread/trace"
+	"pimentospread/udp"
 )
 
 // Deps are the dependencies of a Host.
@@ -31,10 +34,12 @@
 
 // Host is an entry host: its sockets and its duties.
 type Host struct {
-	settings    settings.Settings
-	clock       pimentospread.Clock
-	log         *slog.Logger
-	metrics     *registry
+	settings settings.Settings
+	clock    pimentospread.Clock
+	log      *slog.Logger
+	// logDuty writes the lines of log.
+	logDuty     *telemetry.Log
+	metrics     *telemetry.Registry
 	incarnation pimentospread.Incarnation
 	started     time.Time
 	// seed makes the random choices of the requests decider repeatable in a replay.
@@ -61,18 +66,19 @@
 
 // sockets are the four addresses at which a host listens.
 type sockets struct {
-	data, request *socket
+	data, request *udp.Socket
 	peer, admin   net.Listener
 }
 
 // New opens the sockets and builds the duties. Run starts them.
 func New(deps Deps) (*Host, error) {
 	h := &Host{
-		settings: deps.Settings, clock: deps.Clock, metrics: newRegistry(),
+		settings: deps.Settings, clock: deps.Clock, metrics: telemetry.NewRegistry(),
 		started: deps.Clock.Now(), seed: rand.Uint64(),
 	}
 	h.incarnation = pimentospread.Incarnation(h.started.UnixNano())
-	h.log = newLogger(deps.Settings, deps.LogOutput, h.generation)
+	h.logDuty = newLog(deps.Settings, deps.LogOutput, h.generation)
+	h.log = h.logDuty.With("host", deps.Settings.Host, "failure_domain", deps.Settings.FailureDomain)
 	if err := h.open(); err != nil {
 		h.closeSockets()
 		return nil, err
@@ -98,10 +104,10 @@
 func (h *Host) open() error {
 	var err error
 	s := h.settings
-	if h.sockets.data, err = listen(s.DataAddress); err != nil {
+	if h.sockets.data, err = udp.Listen(s.DataAddress); err != nil {
 		return err
 	}
-	if h.sockets.request, err = listen(s.RequestAddress); err != nil {
+	if h.sockets.request, err = udp.Listen(s.RequestAddress); err != nil {
 		return err
 	}
 	var tcp net.ListenConfig
@@ -149,6 +155,11 @@
 func (h *Host) Run(ctx context.Context) error {
 	// The duties outlive ctx, which only says that the shutdown begins.
 	g := duty.NewGroup(context.WithoutCancel(ctx), h.log)
+	// The log outlives all other duties, so that their last lines are written.
+	logging, endLog := context.WithCancel(context.WithoutCancel(ctx))
+	defer endLog()
+	logs := duty.NewGroup(logging, h.log)
+	logs.Go("log", h.logDuty.Run)
 	if h.recorder != nil {
 		g.Go("trace", h.recorder.Run)
 		h.recordStart(ctx)
@@ -165,7 +176,7 @@
 	g.Go("receive", h.receiver.run)
 	g.Go("report", h.reporter.run)
 	g.Go("operator", func(ctx context.Context) error { return h.operator.Run(ctx, h.adminListener()) })
-	h.log.Info("host started", "data", h.sockets.data.address(), "peer", addressOf(h.sockets.peer), "admin", addressOf(h.sockets.admin))
+	h.log.Info("host started", "data", h.sockets.data.Address(), "peer", addressOf(h.sockets.peer), "admin", addressOf(h.sockets.admin))
 	select {
 	case <-ctx.Done():
 		h.shutDown(g.Context())
@@ -175,7 +186,8 @@
 	err := g.Wait()
 	h.closeSockets()
 	h.log.Info("host stopped")
-	return err
+	endLog()
+	return errors.Join(err, logs.Wait())
 }
 
 func (h *Host) recordStart(ctx context.Context) {
--- a/host/operations_test.go
+++ b/host/operations_test.go
@@ -20,7 +20,7 @@
 
 func operationsPage(t *testing.T) string {
 	t.Helper()
-	page, err := os.ReadFile("../docs/operations.md")
+	page, err := os.ReadFile("../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -39,12 +39,12 @@
 	defer h.closeSockets()
 	page := operationsPage(t)
 	name := regexp.MustCompile(`^[a-z_]+`)
-	for _, metric := range h.metrics.set.ListMetricNames() {
+	for _, metric := range h.metrics.Names() {
 		if family := name.FindString(metric); !strings.Contains(page, "`"+family) {
 			t.Errorf("metric %s is not on the page", family)
 		}
 	}
-	for _, ring := range regexp.MustCompile(`ring="([a-z ]+?)( \d+)?"`).FindAllStringSubmatch(strings.Join(h.metrics.set.ListMetricNames(), "\n"), -1) {
+	for _, ring := range regexp.MustCompile(`ring="([a-z ]+?)( \d+)?"`).FindAllStringSubmatch(strings.Join(h.metrics.Names(), "\n"), -1) {
 		if !strings.Contains(page, "`"+ring[1]) {
 			t.Errorf("ring %s is not on the page", ring[1])
 		}
--- a/host/serve.go
+++ b/host/serve.go
@@ -10,7 +10,9 @@
 	"strings"
 
 	"pimentospread"
+	"pimentospread/front"
 	"pimentospread/settings"
+	"pimentospread/telemetry"
 )
 
 // Serve runs an entry host with the given settings until the context ends, and
@@ -23,11 +25,21 @@
 	if len(faults) > 0 {
 		return invalidSettings(faults)
 	}
-	h, err := New(Deps{Settings: s, Clock: pimentospread.SystemClock{}, LogOutput: os.Stderr})
+	f, err := newFront(s)
 	if err != nil {
 		return err
 	}
-	return h.Run(ctx)
+	return f.Run(ctx)
+}
+
+// newFront returns the front of the encapsulation in the settings.
+func newFront(s settings.Settings) (pimentospread.Front, error) {
+	if s.Encapsulation == settings.Token {
+		return front.New(front.Deps{
+			Settings: s, Clock: pimentospread.SystemClock{}, Metrics: telemetry.NewRegistry(), Log: newLog(s, os.Stdout, nil),
+		})
+	}
+	return New(Deps{Settings: s, Clock: pimentospread.SystemClock{}, LogOutput: os.Stdout})
 }
 
 func invalidSettings(faults []pimentospread.Fault) error {
@@ -38,23 +50,9 @@
 	return pimentospread.At(pimentospread.ErrInvalid.New("the settings have %d faults: %s", len(faults), strings.Join(lines, "; ")), "check settings", "")
 }
 
-func newLogger(s settings.Settings, w io.Writer, generation func() pimentospread.Generation) *slog.Logger {
+func newLog(s settings.Settings, w io.Writer, generation func() pimentospread.Generation) *telemetry.Log {
 	var level slog.Level
 	// The settings were checked; an unknown level keeps the default.
 	_ = level.UnmarshalText([]byte(s.LogLevel))
-	options := &slog.HandlerOptions{Level: level, ReplaceAttr: withoutStack}
-	var handler slog.Handler = slog.NewJSONHandler(w, options)
-	if s.LogFormat == "text" {
-		handler = slog.NewTextHandler(w, options)
-	}
-	return slog.New(newLimitedHandler(handler, generation)).With("host", s.Host, "failure_domain", s.FailureDomain)
-}
-
-// withoutStack writes an error as one plain line. The text handler would print
-// the stack that errorx keeps as well.
-func withoutStack(_ []string, a slog.Attr) slog.Attr {
-	if err, ok := a.Value.Any().(error); ok {
-		return slog.String(a.Key, pimentospread.Text(err))
-	}
-	return a
+	return telemetry.NewLog(telemetry.LogConfig{Output: w, Text: s.LogFormat == "text", Level: level, Generation: generation})
 }
--- a/metrics.go
+++ b/metrics.go
@@ -13,3 +13,9 @@
 	// Gauge registers a metric that is read when it is collected.
 	Gauge(name string, read func() float64)
 }
+
+// Histogram is a metric of a distribution.
+type Histogram interface {
+	// Update adds a value.
+	Update(value float64)
+}
--- a/platform.go
+++ b/platform.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 )
 
 // ObjectKind names a kind of object in the platform's object API.
@@ -40,3 +41,31 @@
 	// It returns ErrTimeout when the platform ends the wait without a change.
 	Watch(ctx context.Context, key ObjectKey, after ObjectVersion) (Object, error)
 }
+
+// Listing is all objects of a kind at one revision of the platform.
+type Listing struct {
+	Objects  []Object
+	Revision ObjectVersion
+}
+
+// Change is an object as it was written, or the last state of a deleted one.
+type Change struct {
+	Object
+	Deleted bool
+}
+
+// Changes are what happened to the objects of a kind up to a revision.
+type Changes struct {
+	Changes  []Change
+	Revision ObjectVersion
+}
+
+// ObjectFeed tells how the objects of a kind change.
+type ObjectFeed interface {
+	// List returns all objects of the kind.
+	List(ctx context.Context, kind ObjectKind) (Listing, error)
+	// Changes waits up to wait for changes after the revision. Without one it
+	// returns no changes and a revision to go on from. It returns ErrExpired
+	// when the platform no longer has the history; the caller then lists.
+	Changes(ctx context.Context, kind ObjectKind, after ObjectVersion, wait time.Duration) (Changes, error)
+}
--- /dev/null
+++ b/routing/delta.go
@@ -0,0 +1,72 @@
+package routing
+
+import (
+	"pimentospread"
+)
+
+// Delta leads from one version of the configuration to a later one. With From
+// zero it is a whole configuration.
+type Delta struct {
+	From, To    pimentospread.ConfigurationVersion
+	IdleTimeout pimentospread.Duration
+	Changed     []pimentospread.Route
+	Removed     []pimentospread.RouteName
+}
+
+// Between returns the delta that leads from one configuration to the other.
+func Between(from, to pimentospread.Configuration) Delta {
+	d := Delta{From: from.Version, To: to.Version, IdleTimeout: pimentospread.Duration{Duration: to.IdleTimeout}}
+	held := byName(from.Routes)
+	for _, r := range to.Routes {
+		if old, ok := held[r.Name]; !ok || !old.Equal(r) {
+			d.Changed = append(d.Changed, r)
+		}
+		delete(held, r.Name)
+	}
+	for _, r := range from.Routes {
+		if _, gone := held[r.Name]; gone {
+			d.Removed = append(d.Removed, r.Name)
+		}
+	}
+	return d
+}
+
+// Apply returns the configuration after the delta. It reports false when the
+// delta does not begin at the configuration's version.
+func (d Delta) Apply(c pimentospread.Configuration) (pimentospread.Configuration, bool) {
+	if d.From != 0 && d.From != c.Version {
+		return pimentospread.Configuration{}, false
+	}
+	var base []pimentospread.Route
+	if d.From != 0 {
+		base = c.Routes
+	}
+	changed, removed := byName(d.Changed), map[pimentospread.RouteName]bool{}
+	for _, name := range d.Removed {
+		removed[name] = true
+	}
+	next := pimentospread.Configuration{Version: d.To, IdleTimeout: d.IdleTimeout.Duration}
+	for _, r := range base {
+		if n, ok := changed[r.Name]; ok {
+			r = n
+			delete(changed, r.Name)
+		}
+		if !removed[r.Name] {
+			next.Routes = append(next.Routes, r)
+		}
+	}
+	for _, r := range d.Changed {
+		if _, added := changed[r.Name]; added {
+			next.Routes = append(next.Routes, r)
+		}
+	}
+	return next, true
+}
+
+func byName(routes []pimentospread.Route) map[pimentospread.RouteName]pimentospread.Route {
+	m := make(map[pimentospread.RouteName]pimentospread.Route, len(routes))
+	for _, r := range routes {
+		m[r.Name] = r
+	}
+	return m
+}
--- a/settings/check.go
+++ b/settings/check.go
@@ -3,8 +3,12 @@
 import (
 	"fmt"
 	"log/slog"
+	"math"
 	"net/netip"
 	"net/url"
+	"reflect"
+	"slices"
+	"strings"
 
 	"pimentospread"
 	"pimentospread/keys"
@@ -14,6 +18,8 @@
 const (
 	maxFlowShards   = 64
 	maxRingCapacity = 1 << 20
+	// maxMemoryMB is a terabyte, so that a number of bytes is noticed.
+	maxMemoryMB = 1 << 20
 )
 
 // Decode reads settings over the defaults. It refuses unknown fields and
@@ -41,34 +47,88 @@
 func (s Settings) Check() []pimentospread.Fault {
 	var c checker
 	c.required("Host", string(s.Host))
-	c.required("Cell", string(s.Cell))
 	c.required("FailureDomain", string(s.FailureDomain))
 	c.address("DataAddress", s.DataAddress)
-	c.address("RequestAddress", s.RequestAddress)
+	switch s.Encapsulation {
+	case VXLAN:
+		s.checkVXLAN(&c)
+	case Token:
+		s.checkToken(&c)
+	default:
+		c.fault("Encapsulation", "%q is neither %s nor %s", s.Encapsulation, VXLAN, Token)
+	}
 	c.address("PeerAddress", s.PeerAddress)
 	c.address("AdminAddress", s.AdminAddress)
 	if s.AdminAddress.IsValid() && !s.AdminAddress.Addr().IsLoopback() && !s.AllowRemoteAdmin {
 		c.fault("AdminAddress", "%s is not a loopback address and AllowRemoteAdmin is false", s.AdminAddress)
 	}
-	c.keyFiles("PeerKeys", s.PeerKeys, true)
-	c.keyFiles("AdminKeys", s.AdminKeys, false)
-	c.plain("PeerAddress", s.PeerAddress, "PeerKeys", s.PeerKeys)
-	c.plain("AdminAddress", s.AdminAddress, "AdminKeys", s.AdminKeys)
-	if !s.FabricAddress.IsValid() || s.FabricAddress.Port() == 0 {
-		c.fault("FabricAddress", "%q is not an address with a port", s.FabricAddress)
-	}
+	s.checkLinks(&c)
 	if u, err := url.Parse(s.PlatformURL); err != nil || u.Host == "" {
 		c.fault("PlatformURL", "%q is not a URL with a host", s.PlatformURL)
 	}
+	c.positive("ShutdownGrace", s.ShutdownGrace)
+	c.between("RingCapacity", s.RingCapacity, 1, maxRingCapacity)
+	c.between("MemoryLimitMB", s.MemoryLimitMB, 0, maxMemoryMB)
+	s.checkLog(&c)
+	sortByField(c.faults)
+	return c.faults
+}
+
+// sortByField puts faults in the order of the fields of Settings.
+func sortByField(faults []pimentospread.Fault) {
+	place := map[string]int{}
+	for i, f := range reflect.VisibleFields(reflect.TypeFor[Settings]()) {
+		place[f.Name] = i
+	}
+	field := func(f pimentospread.Fault) int {
+		name, _, _ := strings.Cut(f.Path, ".")
+		name, _, _ = strings.Cut(name, "[")
+		return place[name]
+	}
+	slices.SortStableFunc(faults, func(a, b pimentospread.Fault) int { return field(a) - field(b) })
+}
+
+// checkVXLAN checks what is used with VXLAN alone.
+func (s Settings) checkVXLAN(c *checker) {
+	c.required("Cell", string(s.Cell))
+	c.address("RequestAddress", s.RequestAddress)
+	if !s.FabricAddress.IsValid() || s.FabricAddress.Port() == 0 {
+		c.fault("FabricAddress", "%q is not an address with a port", s.FabricAddress)
+	}
+	c.between("FlowShards", s.FlowShards, 1, maxFlowShards)
+	c.positive("ProbeTimeout", s.ProbeTimeout)
+}
+
+// checkToken checks what is used with tokens alone.
+func (s Settings) checkToken(c *checker) {
+	c.address("ReadyAddress", s.ReadyAddress)
+	c.positive("PlatformWait", s.PlatformWait)
+	c.positive("FlowLifetime", s.FlowLifetime)
+	c.positive("ReturnGrace", s.ReturnGrace)
+	c.share("RemoteWeight", s.RemoteWeight)
+	c.share("ColdWeight", s.ColdWeight)
+	c.between("FlowLogShare", s.FlowLogShare, 1, math.MaxInt32)
+}
+
+// checkLinks checks what authenticates the other end of a connection.
+func (s Settings) checkLinks(c *checker) {
+	c.keyFiles("PeerKeys", s.PeerKeys, true)
+	c.keyFiles("AdminKeys", s.AdminKeys, false)
 	for i, seed := range s.Seeds {
 		c.required(fmt.Sprintf("Seeds[%d].Host", i), string(seed.Host))
 		c.address(fmt.Sprintf("Seeds[%d].PeerAddress", i), seed.PeerAddress)
+	}
+	if s.TrustedNetwork {
+		return
+	}
+	c.plain("PeerAddress", s.PeerAddress, "PeerKeys", s.PeerKeys)
+	c.plain("AdminAddress", s.AdminAddress, "AdminKeys", s.AdminKeys)
+	for i, seed := range s.Seeds {
 		c.plain(fmt.Sprintf("Seeds[%d].PeerAddress", i), seed.PeerAddress, "PeerKeys", s.PeerKeys)
 	}
-	c.between("FlowShards", s.FlowShards, 1, maxFlowShards)
-	c.between("RingCapacity", s.RingCapacity, 1, maxRingCapacity)
-	c.positive("ProbeTimeout", s.ProbeTimeout)
-	c.positive("ShutdownGrace", s.ShutdownGrace)
+}
+
+func (s Settings) checkLog(c *checker) {
 	if s.LogFormat != "json" && s.LogFormat != "text" {
 		c.fault("LogFormat", "%q is neither json nor text", s.LogFormat)
 	}
@@ -76,7 +136,6 @@
 	if err := level.UnmarshalText([]byte(s.LogLevel)); err != nil {
 		c.fault("LogLevel", "%q is not one of debug, info, warn, error", s.LogLevel)
 	}
-	return c.faults
 }
 
 type checker struct {
@@ -129,3 +188,9 @@
 		c.fault(path, "is %s, must be above 0s", value)
 	}
 }
+
+func (c *checker) share(path string, value pimentospread.Ratio) {
+	if !(value > 0 && value <= 1) {
+		c.fault(path, "is %v, must be above 0 and at most 1", value)
+	}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -9,9 +9,17 @@
 	"pimentospread/keys"
 )
 
+// Encapsulations of packets.
+const (
+	VXLAN = "vxlan"
+	Token = "token"
+)
+
 // Settings are all that an entry host is told at its start. They are written
 // in JSON; a field that is left out keeps its default.
 type Settings struct {
+	// Encapsulation is "vxlan", or "token" where each packet carries the token of its target.
+	Encapsulation string `json:"Encapsulation"`
 	// Host is the name of this entry host, unique in its cell. Required.
 	Host pimentospread.HostID `json:"Host"`
 	// Cell is the group of hosts that serve the same addresses. Required.
@@ -20,23 +28,27 @@
 	Region pimentospread.Region `json:"Region"`
 	// FailureDomain is the failure domain of the host. Required.
 	FailureDomain pimentospread.FailureDomain `json:"FailureDomain"`
-	// DataAddress takes VXLAN packets over UDP from the fabric and the targets.
+	// DataAddress takes packets over UDP from the fabric and, with vxlan, from the targets. With token, packets for callers go to its port at the caller.
 	DataAddress netip.AddrPort `json:"DataAddress"`
-	// RequestAddress is the UDP address from which requests are sent to targets.
+	// RequestAddress is the UDP address from which requests are sent to targets. Used with vxlan.
 	RequestAddress netip.AddrPort `json:"RequestAddress"`
 	// PeerAddress is the TCP address for the other hosts of the cell.
 	PeerAddress netip.AddrPort `json:"PeerAddress"`
 	// PeerKeys are the PEM files that authenticate the hosts of the cell to each other with TLS 1.3. Without them links are plain TCP, which is allowed on loopback addresses only.
 	PeerKeys keys.Files `json:"PeerKeys"`
+	// ReadyAddress is the TCP address at which the fabric asks whether the host takes packets. Used with token; vxlan answers it at AdminAddress.
+	ReadyAddress netip.AddrPort `json:"ReadyAddress"`
 	// AdminAddress is the TCP address of the administration API, metrics and health.
 	AdminAddress netip.AddrPort `json:"AdminAddress"`
 	// AllowRemoteAdmin permits an AdminAddress that is not a loopback address.
 	AllowRemoteAdmin bool `json:"AllowRemoteAdmin"`
 	// AdminKeys are the PEM files with which the administration API serves HTTPS. With an AuthorityPath every client must show a certificate of it. Without a certificate the API is plain HTTP, which is allowed on loopback addresses only.
 	AdminKeys keys.Files `json:"AdminKeys"`
+	// TrustedNetwork permits plain connections on addresses that are not loopback addresses, where the platform keeps others away from them.
+	TrustedNetwork bool `json:"TrustedNetwork"`
 	// AdminToken is the bearer token that changes need. Without one every change is refused.
 	AdminToken string `json:"AdminToken"`
-	// FabricAddress is the UDP address to which packets for callers are sent. Required.
+	// FabricAddress is the UDP address to which packets for callers are sent. Required with vxlan.
 	FabricAddress netip.AddrPort `json:"FabricAddress"`
 	// PlatformURL is the base URL of the platform's object API. Required.
 	PlatformURL string `json:"PlatformURL"`
@@ -50,6 +62,20 @@
 	ProbeTimeout pimentospread.Duration `json:"ProbeTimeout"`
 	// ShutdownGrace bounds the time from SIGTERM to the end of the process.
 	ShutdownGrace pimentospread.Duration `json:"ShutdownGrace"`
+	// PlatformWait is how long the platform holds a watch. A change on a connection that has gone silent is noticed after this time and 0.7 s more.
+	PlatformWait pimentospread.Duration `json:"PlatformWait"`
+	// FlowLifetime is the age at which a flow may be forgotten. Packets of a target that has gone are still sent to it for this time.
+	FlowLifetime pimentospread.Duration `json:"FlowLifetime"`
+	// ReturnGrace is how long targets are kept that are missing after the platform was away. Those that live register again within about 2 s.
+	ReturnGrace pimentospread.Duration `json:"ReturnGrace"`
+	// RemoteWeight is the weight of a target of another failure domain for new flows, where one of the own has 1 (ratio).
+	RemoteWeight pimentospread.Ratio `json:"RemoteWeight"`
+	// ColdWeight is the weight of a target that is warming up for new flows, where a warm one has 1 (ratio).
+	ColdWeight pimentospread.Ratio `json:"ColdWeight"`
+	// FlowLogShare is the number of flows of which one is logged from its first to its last decision (count). Unusual decisions are always logged, up to 200 lines a second.
+	FlowLogShare int `json:"FlowLogShare"`
+	// MemoryLimitMB is the memory that the process may use (MB). Zero means no limit.
+	MemoryLimitMB int `json:"MemoryLimitMB"`
 	// LogFormat is "json" or "text".
 	LogFormat string `json:"LogFormat"`
 	// LogLevel is "debug", "info", "warn" or "error".
@@ -70,6 +96,14 @@
 func DefaultSettings() Settings {
 	loopback := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), 0)
 	return Settings{
+		Encapsulation:  VXLAN,
+		ReadyAddress:   loopback,
+		PlatformWait:   pimentospread.Duration{Duration: time.Second},
+		FlowLifetime:   pimentospread.Duration{Duration: time.Minute},
+		ReturnGrace:    pimentospread.Duration{Duration: 2500 * time.Millisecond},
+		RemoteWeight:   0.25,
+		ColdWeight:     0.5,
+		FlowLogShare:   64,
 		DataAddress:    loopback,
 		RequestAddress: loopback,
 		PeerAddress:    loopback,
--- a/standin/platform/handler.go
+++ b/standin/platform/handler.go
@@ -29,6 +29,7 @@
 	m.HandleFunc("GET /objects/{Kind}/{Name}", h.get)
 	m.HandleFunc("PUT /objects/{Kind}/{Name}", h.put)
 	m.HandleFunc("GET /objects/{Kind}", h.watch)
+	h.handleStore(m)
 	m.HandleFunc("GET /admin/faults", h.getFaults)
 	m.HandleFunc("PUT /admin/faults", h.putFaults)
 	m.HandleFunc("GET /admin/calls", h.getCalls)
@@ -57,11 +58,7 @@
 			return false
 		}
 	}
-	if f.Outage {
-		http.Error(w, "outage", http.StatusServiceUnavailable)
-		return false
-	}
-	return true
+	return !f.strike(w, r)
 }
 
 func key(r *http.Request) pimentospread.ObjectKey {
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -4,6 +4,8 @@
 
 import (
 	"encoding/json"
+	"slices"
+	"strings"
 
 	"pimentospread"
 )
@@ -18,8 +20,14 @@
 	// watch of a kind can go on from the highest version that it has seen.
 	revision pimentospread.ObjectVersion
 	waiting  map[*watch]struct{}
-	faults   Faults
-	calls    Calls
+	// history holds the last changes, oldest first. first is the revision after
+	// which it is complete.
+	history []pimentospread.Change
+	first   pimentospread.ObjectVersion
+	// changed is closed and replaced at each change.
+	changed chan struct{}
+	faults  Faults
+	calls   Calls
 }
 
 // Faults are the faults that the platform shows.
@@ -30,6 +38,15 @@
 	Outage bool `json:"Outage"`
 	// LoseAnswers is the number of writes that take effect and are not answered.
 	LoseAnswers int `json:"LoseAnswers"`
+	// Silent accepts calls and answers none.
+	Silent bool `json:"Silent"`
+	// DeafWatches lets watches end without the changes that were made.
+	DeafWatches bool `json:"DeafWatches"`
+	// RejectFrom names the IP addresses whose calls get RejectStatus.
+	RejectFrom   []string `json:"RejectFrom"`
+	RejectStatus int      `json:"RejectStatus"`
+	// PageSize is the number of objects in a page of a list. Zero means 500.
+	PageSize int `json:"PageSize"`
 }
 
 // Calls counts calls. Each call counts once, a waiting watch included.
@@ -55,6 +72,7 @@
 	return &Store{
 		objects: map[pimentospread.ObjectKey]pimentospread.Object{},
 		waiting: map[*watch]struct{}{},
+		changed: make(chan struct{}),
 	}
 }
 
@@ -78,6 +96,7 @@
 	s.revision++
 	o := pimentospread.Object{ObjectKey: key, Version: s.revision, Value: value}
 	s.objects[key] = o
+	s.record(pimentospread.Change{Object: o})
 	for w := range s.waiting {
 		if w.matches(o) {
 			w.found <- o
@@ -130,3 +149,69 @@
 	s.faults.LoseAnswers--
 	return true
 }
+
+// maxHistory bounds the changes that a watch can go back.
+const maxHistory = 10000
+
+func (s *Store) record(c pimentospread.Change) {
+	s.history = append(s.history, c)
+	if len(s.history) > maxHistory {
+		s.first = s.history[0].Version
+		s.history = s.history[1:]
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Delete removes the object.
+func (s *Store) Delete(key pimentospread.ObjectKey) error {
+	o, err := s.Get(key)
+	if err != nil {
+		return err
+	}
+	delete(s.objects, key)
+	s.revision++
+	o.Version = s.revision
+	s.record(pimentospread.Change{Object: o, Deleted: true})
+	return nil
+}
+
+// Compact forgets all history, as a store may do at any time.
+func (s *Store) Compact() {
+	s.history, s.first = nil, s.revision
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// List returns a page of the objects of a kind in the order of their names.
+func (s *Store) List(kind pimentospread.ObjectKind, after string) (objects []pimentospread.Object, more bool) {
+	for key, o := range s.objects {
+		if key.Kind == kind && key.Name > after {
+			objects = append(objects, o)
+		}
+	}
+	slices.SortFunc(objects, func(a, b pimentospread.Object) int { return strings.Compare(a.Name, b.Name) })
+	size := s.faults.PageSize
+	if size == 0 {
+		size = 500
+	}
+	if len(objects) > size {
+		return objects[:size], true
+	}
+	return objects, false
+}
+
+// Since returns the changes of a kind after the revision. It returns ErrExpired
+// when they are no longer all known.
+func (s *Store) Since(kind pimentospread.ObjectKind, after pimentospread.ObjectVersion) (pimentospread.Changes, error) {
+	if after < s.first {
+		return pimentospread.Changes{}, pimentospread.At(pimentospread.ErrExpired.New("history begins at %d, not %d", s.first, after), "watch", "")
+	}
+	changes := pimentospread.Changes{Revision: s.revision}
+	for _, c := range s.history {
+		if c.Kind == kind && c.Version > after {
+			changes.Changes = append(changes.Changes, c)
+		}
+	}
+	return changes, nil
+}
--- a/host/socket.go
+++ b/udp/socket.go
@@ -1,4 +1,5 @@
-package host
+// Package udp opens the sockets that carry datagrams.
+package udp
 
 import (
 	"errors"
@@ -11,12 +12,13 @@
 // socketBuffer holds the packets of about 10 ms at 100,000 packets a second.
 const socketBuffer = 4 << 20
 
-// socket is a UDP socket that implements pimentospread.Fabric.
-type socket struct {
+// Socket is a UDP socket that implements pimentospread.Fabric.
+type Socket struct {
 	conn *net.UDPConn
 }
 
-func listen(address netip.AddrPort) (*socket, error) {
+// Listen opens a socket at the address.
+func Listen(address netip.AddrPort) (*Socket, error) {
 	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
 	if err != nil {
 		return nil, pimentospread.At(pimentospread.ErrUnavailable.Wrap(err, "UDP address cannot be used"), "listen", address.String())
@@ -24,11 +26,11 @@
 	// The kernel may grant less; the socket works with what it gets.
 	_ = conn.SetReadBuffer(socketBuffer)
 	_ = conn.SetWriteBuffer(socketBuffer)
-	return &socket{conn: conn}, nil
+	return &Socket{conn: conn}, nil
 }
 
 // Receive waits for one datagram.
-func (s *socket) Receive(buffer []byte) (int, netip.AddrPort, error) {
+func (s *Socket) Receive(buffer []byte) (int, netip.AddrPort, error) {
 	n, from, err := s.conn.ReadFromUDPAddrPort(buffer)
 	if errors.Is(err, net.ErrClosed) {
 		return 0, from, pimentospread.At(pimentospread.ErrClosed.Wrap(err, "socket is closed"), "receive", "")
@@ -40,7 +42,7 @@
 }
 
 // Send sends one datagram.
-func (s *socket) Send(data []byte, to netip.AddrPort) error {
+func (s *Socket) Send(data []byte, to netip.AddrPort) error {
 	if _, err := s.conn.WriteToUDPAddrPort(data, to); err != nil {
 		return pimentospread.At(pimentospread.ErrUnavailable.Wrap(err, "datagram not sent"), "send", to.String())
 	}
@@ -48,9 +50,10 @@
 }
 
 // Close ends a waiting Receive.
-func (s *socket) Close() error { return s.conn.Close() }
+func (s *Socket) Close() error { return s.conn.Close() }
 
-func (s *socket) address() netip.AddrPort {
+// Address returns the address at which the socket listens.
+func (s *Socket) Address() netip.AddrPort {
 	a := s.conn.LocalAddr().(*net.UDPAddr).AddrPort()
 	return netip.AddrPortFrom(a.Addr().Unmap(), a.Port())
 }
