Send new flows to the least loaded target that answers

Cause: new flows went by rendezvous rank alone. A quarter of them crossed failure domains and were lost in a zone cut; ranks gather requests at some targets (503 under load); a crashed target drew its share until its entry lapsed.

Change: aggregate inflight counts the requests in flight at each target from callers' packets (data, acknowledgements, ends); aggregate doubt takes SYN copies and repeated data as evidence of silence when nothing was heard of the target since. The steerer takes the least load for each slot among 16 candidates, the own failure domain first, and tries doubted targets after 1 s.

Calls to the platform and zone cuts remain.

--- /dev/null
+++ b/doubt/register.go
@@ -0,0 +1,89 @@
+// Package doubt judges by what callers' packets show which targets do not
+// answer. A target in doubt gets no new flows but a trial now and then.
+package doubt
+
+import (
+	"time"
+
+	"pimentospread"
+)
+
+// Config bounds a doubt.
+type Config struct {
+	// FirstTrial is the time from the doubt to the first trial flow. It doubles up to LastTrial.
+	FirstTrial, LastTrial time.Duration
+}
+
+// Register holds the evidence about targets. It belongs to one duty.
+type Register struct {
+	config  Config
+	targets map[pimentospread.Token]*Target
+}
+
+// Target is the evidence about one target.
+type Target struct {
+	// answered is the last time at which a packet showed that the target lives.
+	answered time.Time
+	doubted  bool
+	// trial is when the next flow may try the target, and pause the time between trials.
+	trial time.Time
+	pause time.Duration
+}
+
+// New returns a register without evidence.
+func New(c Config) *Register {
+	return &Register{config: c, targets: map[pimentospread.Token]*Target{}}
+}
+
+// Target returns the evidence about a target. It stays valid until Retain drops the target.
+func (r *Register) Target(t pimentospread.Token) *Target {
+	k, ok := r.targets[t]
+	if !ok {
+		k = &Target{}
+		r.targets[t] = k
+	}
+	return k
+}
+
+// Answered says that a caller has heard from the target. It reports whether a doubt ended.
+func (r *Register) Answered(now time.Time, t pimentospread.Token) bool {
+	k := r.Target(t)
+	k.answered = now
+	ended := k.doubted
+	k.doubted = false
+	return ended
+}
+
+// Repeated says that a caller sent something to the target again that it had
+// sent at the given time. That is evidence only if nothing was heard of the
+// target since then; otherwise a packet was lost. It reports whether a doubt began.
+func (r *Register) Repeated(now time.Time, t pimentospread.Token, sent time.Time) bool {
+	k := r.Target(t)
+	if k.doubted || k.answered.After(sent) {
+		return false
+	}
+	k.doubted, k.pause = true, r.config.FirstTrial
+	k.trial = now.Add(k.pause)
+	return true
+}
+
+// Tried says that a flow was sent to a target in doubt.
+func (r *Register) Tried(now time.Time, k *Target) {
+	k.pause = min(2*k.pause, r.config.LastTrial)
+	k.trial = now.Add(k.pause)
+}
+
+// Doubted reports whether the target is in doubt.
+func (k *Target) Doubted() bool { return k.doubted }
+
+// TrialDue reports whether a flow may try the target although it is in doubt.
+func (k *Target) TrialDue(now time.Time) bool { return k.doubted && !now.Before(k.trial) }
+
+// Retain forgets the targets that are not in the set.
+func (r *Register) Retain(keep func(pimentospread.Token) bool) {
+	for t := range r.targets {
+		if !keep(t) {
+			delete(r.targets, t)
+		}
+	}
+}
--- /dev/null
+++ b/feed/cursor_test.go
@@ -0,0 +1,72 @@
+package feed_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"pimentospread/feed"
+)
+
+// Guards against a cursor that misses changes, that hammers a platform which is
+// away, or that trusts a watch for ever.
+func TestCursor(t *testing.T) {
+	start := time.Unix(1_700_000_000, 0)
+	list, watch := feed.Call{Step: feed.List}, feed.Call{Step: feed.Watch, After: 7, Wait: time.Second}
+	pause := func(d time.Duration) feed.Call { return feed.Call{Step: feed.Pause, Wait: d} }
+	type step struct {
+		at   time.Duration
+		do   func(c *feed.Cursor, now time.Time)
+		want feed.Call
+	}
+	listed := func(c *feed.Cursor, now time.Time) { c.Listed(now, 7) }
+	failed := func(c *feed.Cursor, _ time.Time) { c.Failed() }
+	nothing := func(*feed.Cursor, time.Time) {}
+	tests := map[string][]step{
+		"a list comes first": {{do: nothing, want: list}},
+		"a watch follows":    {{do: listed, want: watch}},
+		"a watch goes on from the last change": {
+			{do: listed, want: watch},
+			{do: func(c *feed.Cursor, _ time.Time) { c.Changed(9) }, want: feed.Call{Step: feed.Watch, After: 9, Wait: time.Second}},
+			{do: func(c *feed.Cursor, _ time.Time) { c.Changed(8) }, want: feed.Call{Step: feed.Watch, After: 9, Wait: time.Second}},
+		},
+		"everything is listed again after a while": {
+			{do: listed, want: watch},
+			{at: 15 * time.Second, do: nothing, want: list},
+		},
+		"history lost": {
+			{do: listed, want: watch},
+			{do: func(c *feed.Cursor, _ time.Time) { c.Expired() }, want: list},
+		},
+		"pauses grow up to a bound": {
+			{do: listed, want: watch},
+			{do: failed, want: pause(50 * time.Millisecond)},
+			{do: nothing, want: watch},
+			{do: failed, want: pause(100 * time.Millisecond)},
+			{do: nothing, want: watch},
+			{do: failed, want: pause(200 * time.Millisecond)},
+			{do: nothing, want: watch},
+			{do: failed, want: pause(400 * time.Millisecond)},
+			{do: nothing, want: watch},
+			{do: failed, want: pause(500 * time.Millisecond)},
+		},
+		"a restart lists": {
+			{do: listed, want: watch},
+			{do: func(c *feed.Cursor, _ time.Time) { c.Restart() }, want: list},
+		},
+	}
+	for name, steps := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := feed.NewCursor(feed.CursorConfig{
+				Wait: time.Second, Relist: 15 * time.Second, FirstRetry: 50 * time.Millisecond, LastRetry: 500 * time.Millisecond,
+			})
+			for i, s := range steps {
+				s.do(c, start.Add(s.at))
+				if diff := cmp.Diff(s.want, c.Next(start.Add(s.at), 1)); diff != "" {
+					t.Errorf("step %d: %s", i, diff)
+				}
+			}
+		})
+	}
+}
--- a/front/belief.go
+++ b/front/belief.go
@@ -37,7 +37,6 @@
 	events    *ring.Ring[event]
 	views     *ring.Ring[*steer.View]
 	domain    pimentospread.FailureDomain
-	weights   steer.Weights
 	table     *routing.Table
 	directory *directory.Directory
 	contacts  map[pimentospread.ObjectKind]*contactState
@@ -147,7 +146,7 @@
 		return
 	}
 	if b.changed {
-		b.view = steer.NewView(b.domain, b.weights, b.table, b.directory)
+		b.view = steer.NewView(b.domain, b.table, b.directory)
 	}
 	b.changed, b.confirmed = false, false
 	if b.view == nil {
--- a/front/counters.go
+++ b/front/counters.go
@@ -13,6 +13,7 @@
 type counters struct {
 	metrics                   pimentospread.Metrics
 	receiveFailed, sendFailed pimentospread.Counter
+	doubts                    pimentospread.Counter
 	actions                   map[actionKey]pimentospread.Counter
 }
 
@@ -26,6 +27,7 @@
 		metrics:       m,
 		receiveFailed: m.Counter("pimentospread_receive_failures_total"),
 		sendFailed:    m.Counter(`pimentospread_send_failures_total{socket="data"}`),
+		doubts:        m.Counter("pimentospread_doubts_total"),
 		actions:       map[actionKey]pimentospread.Counter{},
 	}
 }
--- a/front/front.go
+++ b/front/front.go
@@ -8,11 +8,14 @@
 	"net/netip"
 	"net/url"
 	"runtime/debug"
+	"time"
 
 	"pimentospread"
 	"pimentospread/directory"
+	"pimentospread/doubt"
 	"pimentospread/duty"
 	"pimentospread/feed"
+	"pimentospread/inflight"
 	"pimentospread/platform"
 	"pimentospread/ring"
 	"pimentospread/routing"
@@ -26,6 +29,20 @@
 // and a change of all targets at once is one event.
 const eventCapacity = 256
 
+const (
+	// maxTracked bounds the flows whose load is tracked: 79 million flows over
+	// 13,000 hosts are 6,100 for each.
+	maxTracked = 16384
+	// loadAveraging spans a few requests of a long flow, which come about once a second.
+	loadAveraging = 2 * time.Second
+	// longestCount is a few times the work of a request, which takes tens of milliseconds.
+	longestCount = 300 * time.Millisecond
+	// firstTrial and lastTrial bound the time until a target in doubt is tried
+	// again. Entries of targets that are gone lapse after about 2.5 s.
+	firstTrial = time.Second
+	lastTrial  = 4 * time.Second
+)
+
 // Deps are the dependencies of a Front.
 type Deps struct {
 	Settings settings.Settings
@@ -131,14 +148,20 @@
 	views := ring.New[*steer.View](1, ring.DropOldest)
 	f.steering = &steering{
 		socket: f.sockets.data, clock: f.clock, views: views, log: f.log,
-		steerer: steer.New(), counters: newCounters(f.metrics),
+		steerer: steer.New(
+			steer.Weights{Remote: s.RemoteCost, Cold: float64(s.ColdSpeed)},
+			inflight.New(inflight.Config{
+				MaxFlows: maxTracked, Averaging: loadAveraging, LongestCount: longestCount, FlowLifetime: s.FlowLifetime.Duration,
+			}),
+			doubt.New(doubt.Config{FirstTrial: firstTrial, LastTrial: lastTrial}),
+		),
+		counters:   newCounters(f.metrics),
 		callerPort: f.sockets.data.Address().Port(), logShare: pimentospread.FlowID(s.FlowLogShare),
 	}
 	f.belief = &belief{
 		clock: f.clock, log: f.log, events: events, views: views,
-		domain:  s.FailureDomain,
-		weights: steer.Weights{Remote: float64(s.RemoteWeight), Cold: float64(s.ColdWeight)},
-		table:   routing.New(),
+		domain: s.FailureDomain,
+		table:  routing.New(),
 		directory: directory.New(directory.Config{
 			DepartedFor: s.FlowLifetime.Duration, ReturnGrace: s.ReturnGrace.Duration,
 		}),
--- a/front/steering.go
+++ b/front/steering.go
@@ -78,6 +78,7 @@
 	a := s.steerer.Steer(now, p)
 	s.counters.action(a)
 	s.note(now, p, a)
+	s.noteDoubts(now)
 	switch a.Kind {
 	case steer.Forward:
 		s.send(s.buffer.ForTarget(a.Instance, p.Opens, a.Target), a.Address)
@@ -118,6 +119,18 @@
 	s.log.LogAttrs(context.Background(), slog.LevelInfo, "flow", attributes...)
 }
 
+// noteDoubts logs which targets fell silent or answered again.
+func (s *steering) noteDoubts(now time.Time) {
+	for _, c := range s.steerer.Changes() {
+		if !c.Doubted {
+			s.log.Info("target answers again", "target", c.Target, "token", c.Token)
+			continue
+		}
+		s.counters.doubts.Add(1)
+		s.log.Warn("target left packets unanswered and gets no new flows", "target", c.Target, "token", c.Token, "silent", now.Sub(c.Since))
+	}
+}
+
 // FlowName is the name of a flow in the log: the caller's address and the service's.
 func FlowName(k pimentospread.FlowKey) string { return k.Caller.String() + ">" + k.Service.String() }
 
--- a/settings/check.go
+++ b/settings/check.go
@@ -105,8 +105,10 @@
 	c.positive("PlatformWait", s.PlatformWait)
 	c.positive("FlowLifetime", s.FlowLifetime)
 	c.positive("ReturnGrace", s.ReturnGrace)
-	c.share("RemoteWeight", s.RemoteWeight)
-	c.share("ColdWeight", s.ColdWeight)
+	if !(s.RemoteCost >= 0) {
+		c.fault("RemoteCost", "is %v, must not be below 0", s.RemoteCost)
+	}
+	c.share("ColdSpeed", s.ColdSpeed)
 	c.between("FlowLogShare", s.FlowLogShare, 1, math.MaxInt32)
 }
 
--- a/settings/reference.go
+++ b/settings/reference.go
@@ -55,7 +55,7 @@
 	switch t.Kind() {
 	case reflect.Bool:
 		return "true or false"
-	case reflect.Int:
+	case reflect.Int, reflect.Float64:
 		return "number"
 	default:
 		return "text"
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -68,10 +68,10 @@
 	FlowLifetime pimentospread.Duration `json:"FlowLifetime"`
 	// ReturnGrace is how long targets are kept that are missing after the platform was away. Those that live register again within about 2 s.
 	ReturnGrace pimentospread.Duration `json:"ReturnGrace"`
-	// RemoteWeight is the weight of a target of another failure domain for new flows, where one of the own has 1 (ratio).
-	RemoteWeight pimentospread.Ratio `json:"RemoteWeight"`
-	// ColdWeight is the weight of a target that is warming up for new flows, where a warm one has 1 (ratio).
-	ColdWeight pimentospread.Ratio `json:"ColdWeight"`
+	// RemoteCost is how much less loaded a target of another failure domain must be than one of the own to get a new flow (requests for each slot).
+	RemoteCost float64 `json:"RemoteCost"`
+	// ColdSpeed is the speed of a target that is warming up, where a warm one has 1 (ratio).
+	ColdSpeed pimentospread.Ratio `json:"ColdSpeed"`
 	// FlowLogShare is the number of flows of which one is logged from its first to its last decision (count). Unusual decisions are always logged, up to 200 lines a second.
 	FlowLogShare int `json:"FlowLogShare"`
 	// MemoryLimitMB is the memory that the process may use (MB). Zero means no limit.
@@ -101,8 +101,8 @@
 		PlatformWait:   pimentospread.Duration{Duration: time.Second},
 		FlowLifetime:   pimentospread.Duration{Duration: time.Minute},
 		ReturnGrace:    pimentospread.Duration{Duration: 2500 * time.Millisecond},
-		RemoteWeight:   0.25,
-		ColdWeight:     0.5,
+		RemoteCost:     0.3,
+		ColdSpeed:      0.5,
 		FlowLogShare:   64,
 		DataAddress:    loopback,
 		RequestAddress: loopback,
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -50,6 +50,23 @@
 				"Seeds[0].PeerAddress: 192.0.2.2:7000 is not a loopback address and PeerKeys is not set",
 			},
 		},
+		"tokens need no cell and no fabric": {
+			text: `{"Encapsulation":"token","Host":"h","FailureDomain":"f","PlatformURL":"http://127.0.0.1:1"}`,
+		},
+		"faults of what tokens use": {
+			text: `{"Encapsulation":"token","Host":"h","FailureDomain":"f","PlatformURL":"http://127.0.0.1:1","PlatformWait":"0s","RemoteCost":-1,"ColdSpeed":2,"FlowLogShare":0,"MemoryLimitMB":-1}`,
+			faults: []string{
+				"PlatformWait: is 0s, must be above 0s", "RemoteCost: is -1, must not be below 0",
+				"ColdSpeed: is 2, must be above 0 and at most 1", "FlowLogShare: is 0, must be between 1 and 2147483647",
+				"MemoryLimitMB: is -1, must be between 0 and 1048576",
+			},
+		},
+		"unknown encapsulation": {
+			text: sound + `,"Encapsulation":"x"}`, faults: []string{`Encapsulation: "x" is neither vxlan nor token`},
+		},
+		"plain TCP off loopback in a trusted network": {
+			text: sound + `,"PeerAddress":"192.0.2.1:7000","TrustedNetwork":true}`,
+		},
 		"keys off loopback": {
 			text: sound + `,"PeerAddress":"0.0.0.0:7000","PeerKeys":{"CertificatePath":"c","KeyPath":"k","AuthorityPath":"a"}}`,
 		},
--- a/steer/steerer.go
+++ b/steer/steerer.go
@@ -4,18 +4,83 @@
 	"time"
 
 	"pimentospread"
+	"pimentospread/directory"
+	"pimentospread/doubt"
+	"pimentospread/inflight"
 )
 
 // Steerer decides on packets. It belongs to one duty.
 type Steerer struct {
-	view *View
+	view    *View
+	weights Weights
+	tracker *inflight.Tracker
+	doubts  *doubt.Register
+	// options are the candidates of the view with their loads.
+	options map[pimentospread.ServiceName]options
+	changes []DoubtChange
+}
+
+// DoubtChange is the begin or the end of a doubt about a target.
+type DoubtChange struct {
+	Target  pimentospread.RegistrationName
+	Token   pimentospread.Token
+	Doubted bool
+	// Since is when the caller had last sent what the target left unanswered.
+	Since time.Time
+}
+
+// Changes returns the doubts that began or ended since the last call.
+func (s *Steerer) Changes() []DoubtChange {
+	c := s.changes
+	s.changes = nil
+	return c
+}
+
+func (s *Steerer) answered(now time.Time, t *directory.Target) {
+	if s.doubts.Answered(now, t.Token) {
+		s.changes = append(s.changes, DoubtChange{Target: t.Registration.Name, Token: t.Token})
+	}
+}
+
+func (s *Steerer) repeated(now time.Time, t *directory.Target, sent time.Time) {
+	if s.doubts.Repeated(now, t.Token, sent) {
+		s.changes = append(s.changes, DoubtChange{Target: t.Registration.Name, Token: t.Token, Doubted: true, Since: sent})
+	}
 }
 
 // New returns a steerer that believes nothing yet.
-func New() *Steerer { return &Steerer{} }
+func New(w Weights, tracker *inflight.Tracker, doubts *doubt.Register) *Steerer {
+	return &Steerer{weights: w, tracker: tracker, doubts: doubts, options: map[pimentospread.ServiceName]options{}}
+}
 
 // SetView replaces what the steerer believes.
-func (s *Steerer) SetView(v *View) { s.view = v }
+func (s *Steerer) SetView(v *View) {
+	same := s.view != nil && s.view.built == v.built
+	s.view = v
+	if same {
+		return
+	}
+	s.options = make(map[pimentospread.ServiceName]options, len(v.services))
+	for service, candidates := range v.services {
+		s.options[service] = s.optionsOf(candidates)
+	}
+	known := func(t pimentospread.Token) bool { return v.tokens[t] != nil }
+	s.tracker.Retain(known)
+	s.doubts.Retain(known)
+}
+
+func (s *Steerer) optionsOf(candidates []candidate) options {
+	var of options
+	for _, c := range candidates {
+		o := option{c, s.tracker.Target(c.target.Token), s.doubts.Target(c.target.Token)}
+		if c.local {
+			of.local = append(of.local, o)
+		} else {
+			of.remote = append(of.remote, o)
+		}
+	}
+	return of
+}
 
 // View returns what the steerer believes. It is nil at first.
 func (s *Steerer) View() *View { return s.view }
@@ -28,7 +93,7 @@
 	if p.Opens {
 		return s.open(now, p)
 	}
-	return s.follow(p)
+	return s.follow(now, p)
 }
 
 // open chooses the target of a new flow.
@@ -39,17 +104,26 @@
 	}
 	flow := p.Key.ID()
 	service := chooseService(route, flow)
-	c, ok := s.view.rank(now, service, flow, func(candidate) bool { return true })
-	if !ok {
-		return Action{Kind: Reset, Cause: CauseNoTarget}
+	if chosen, sent, ok := s.tracker.Choice(flow); ok && p.Copy > 0 {
+		if t, known := s.view.tokens[chosen.Token]; known {
+			s.repeated(now, t, sent)
+			if !s.doubts.Target(chosen.Token).Doubted() {
+				return forward(t, CauseCopy)
+			}
+		}
+	}
+	o, cause := s.choose(now, service, flow, p.Copy == 0)
+	if cause == CauseNoTarget {
+		return Action{Kind: Reset, Cause: cause}
 	}
-	return forward(c, CauseRank)
+	s.tracker.Opened(now, flow, o.load)
+	return forward(o.target, cause)
 }
 
-func forward(c candidate, cause Cause) Action {
-	r := &c.target.Registration
+func forward(t *directory.Target, cause Cause) Action {
+	r := &t.Registration
 	return Action{
-		Kind: Forward, Cause: cause, Target: c.target.Token,
+		Kind: Forward, Cause: cause, Target: t.Token,
 		Name: r.Name, Instance: r.Instance, Address: r.Address,
 	}
 }
@@ -74,7 +148,7 @@
 }
 
 // follow steers a packet of an open flow by its token.
-func (s *Steerer) follow(p Packet) Action {
+func (s *Steerer) follow(now time.Time, p Packet) Action {
 	if s.view.dropped[p.Key.Service] {
 		return Action{Kind: Reset, Cause: CauseRouteDropped}
 	}
@@ -83,13 +157,18 @@
 		// The target may be newer than what this host has heard; the sender repeats the packet.
 		return Action{Kind: Drop, Cause: CauseUnknownToken}
 	}
-	r := &t.Registration
-	a := Action{
-		Kind: Forward, Cause: CauseToken, Target: p.Token,
-		Name: r.Name, Instance: r.Instance, Address: r.Address,
+	signal := s.tracker.Packet(now, inflight.Sent{
+		Flow: p.Key.ID(), Token: p.Token, Sequence: p.Sequence, Ack: p.Ack, Length: p.Length,
+		Ends: p.Ends || p.Resets,
+	})
+	if signal.Answered {
+		s.answered(now, t)
+	}
+	if signal.Repeated {
+		s.repeated(now, t, signal.Sent)
 	}
 	if t.Departed {
-		a.Cause = CauseDeparted
+		return forward(t, CauseDeparted)
 	}
-	return a
+	return forward(t, CauseToken)
 }
