--- a/cmd/pimentospread/main.go
+++ b/cmd/pimentospread/main.go
@@ -25,12 +25,16 @@
 func run() int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	// Without a receiver SIGHUP ends the process, so it is caught from the start.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	tree := command.New(command.Deps{
 		Build:  command.Build{Version: version, Revision: revision()},
 		Stdin:  os.Stdin,
 		Stdout: os.Stdout,
 		Stderr: os.Stderr,
 		Serve:  host.Serve,
+		Reload: reload,
 	})
 	err := tree.Run(ctx, os.Args)
 	if err != nil {
--- a/command/cell_test.go
+++ b/command/cell_test.go
@@ -19,6 +19,7 @@
 	"pimentospread/operator"
 	"pimentospread/publish"
 	"pimentospread/release"
+	"pimentospread/settings"
 )
 
 const token = "a-token"
@@ -123,7 +124,9 @@
 	tree := command.New(command.Deps{
 		Build: command.Build{Version: "1.2", Revision: "abc"},
 		Stdin: strings.NewReader(stdin), Stdout: &out, Stderr: &errs,
-		Serve: func(context.Context, []byte) error { return pimentospread.ErrUnavailable.New("address is in use") },
+		Serve: func(context.Context, settings.Source) error {
+			return pimentospread.ErrUnavailable.New("address is in use")
+		},
 	})
 	err := tree.Run(ctx, append([]string{"pimentospread"}, arguments...))
 	if err != nil {
--- a/command/root.go
+++ b/command/root.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"os"
 	"strings"
 
 	"github.com/joomcode/errorx"
@@ -13,6 +14,7 @@
 	"pimentospread"
 	"pimentospread/keys"
 	"pimentospread/operator"
+	"pimentospread/settings"
 )
 
 // Exit codes of every command.
@@ -37,7 +39,9 @@
 	Stdout io.Writer
 	Stderr io.Writer
 	// Serve runs an entry host until the context ends.
-	Serve func(ctx context.Context, settings []byte) error
+	Serve func(ctx context.Context, source settings.Source) error
+	// Reload receives when the settings are to be read again. It may be nil.
+	Reload <-chan os.Signal
 }
 
 // errUsage marks an error in the use of the command line.
--- a/command/show.go
+++ b/command/show.go
@@ -157,14 +157,13 @@
 	return &cli.Command{
 		Name:        "serve",
 		Usage:       "run an entry host",
-		Description: "SIGTERM starts a graceful shutdown.\n\nExample: pimentospread serve --settings host.json",
+		Description: "SIGTERM starts a graceful shutdown. SIGHUP reads the settings again.\n\nExample: pimentospread serve --settings host.json",
 		Flags:       []cli.Flag{&cli.StringFlag{Name: flagSettings, Required: true, Usage: "JSON file with the settings; - reads standard input"}},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			data, err := s.read(c.String(flagSettings))
-			if err != nil {
-				return err
-			}
-			return s.deps.Serve(ctx, data)
+			return s.deps.Serve(ctx, settings.Source{
+				Read:  func() ([]byte, error) { return s.read(c.String(flagSettings)) },
+				Again: s.deps.Reload,
+			})
 		},
 	}
 }
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -69,6 +69,8 @@
 	Missing   What = "missing"
 	Returned  What = "returned"
 	Gone      What = "gone"
+	// Changed is any other difference, such as another number of slots.
+	Changed What = "changed"
 )
 
 // Change is one change of belief about a target.
@@ -93,9 +95,32 @@
 // or before the directory's revision.
 func (d *Directory) Covers(u Update) bool { return u.Full || u.From <= d.revision && d.revision > 0 }
 
+// Delta returns the changes as an update that leads from one revision to another.
+func Delta(from, to pimentospread.ObjectVersion, changes []Change) Update {
+	u := Update{From: from, Revision: to}
+	for _, c := range changes {
+		if c.What == Missing || c.What == Gone {
+			u.Removed = append(u.Removed, c.Registration.Name)
+			continue
+		}
+		u.Present = append(u.Present, c.Registration)
+	}
+	return u
+}
+
+// Grace returns how much longer missing entries are kept.
+func (d *Directory) Grace(now time.Time) time.Duration { return max(d.graceUntil.Sub(now), 0) }
+
+// KeepMissing keeps missing entries at least for the given time.
+func (d *Directory) KeepMissing(now time.Time, grace time.Duration) {
+	if until := now.Add(min(grace, d.config.ReturnGrace)); until.After(d.graceUntil) {
+		d.graceUntil = until
+	}
+}
+
 // PlatformReturned says that the platform was away for long enough for entries to
 // lapse although their targets live.
-func (d *Directory) PlatformReturned(now time.Time) { d.graceUntil = now.Add(d.config.ReturnGrace) }
+func (d *Directory) PlatformReturned(now time.Time) { d.KeepMissing(now, d.config.ReturnGrace) }
 
 // Apply takes an update. An update that is older than the directory, or that
 // leaves a gap, changes nothing.
@@ -144,7 +169,7 @@
 	case old.registration.Draining != r.Draining:
 		return append(changes, Change{r, Ready})
 	}
-	return changes
+	return append(changes, Change{r, Changed})
 }
 
 func (d *Directory) remove(changes []Change, now time.Time, name pimentospread.RegistrationName) []Change {
--- /dev/null
+++ b/feed/relay.go
@@ -0,0 +1,189 @@
+package feed
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"pimentospread"
+	"pimentospread/directory"
+	"pimentospread/routing"
+)
+
+const (
+	// keptUpdates bounds the changes of targets that are kept for subscribers
+	// that missed some. One that missed more gets all targets.
+	keptUpdates = 64
+	// keptConfigurations bounds the earlier configurations from which changes are worked out.
+	keptConfigurations = 4
+	// maxSubscribers bounds what a host sends. It is above the hosts of a failure
+	// domain at the size of two years, 13,000 over 27.
+	maxSubscribers = 512
+)
+
+// RelayConfig says how long subscriptions last.
+type RelayConfig struct {
+	// Lease is how long a subscription lasts without being renewed.
+	Lease time.Duration
+}
+
+// Relay passes what this host hears on to the hosts that subscribed.
+type Relay struct {
+	config         RelayConfig
+	subscribers    map[pimentospread.HostID]*subscriber
+	updates        []directory.Update
+	configurations []pimentospread.Configuration
+}
+
+type subscriber struct {
+	address  netip.AddrPort
+	position Position
+	until    time.Time
+}
+
+// State is what a relay passes on.
+type State struct {
+	Directory *directory.Directory
+	Table     *routing.Table
+	Peers     Peers
+	Confirmed time.Time
+	Path      []pimentospread.HostID
+}
+
+// position returns how far the state reaches.
+func (s State) position() Position {
+	return Position{Targets: s.Directory.Revision(), Configuration: s.Table.Version(), Peers: s.Peers.Revision}
+}
+
+// NewRelay returns a relay without subscribers.
+func NewRelay(c RelayConfig) *Relay {
+	return &Relay{config: c, subscribers: map[pimentospread.HostID]*subscriber{}}
+}
+
+// Subscribe takes a subscription. The answer brings the subscriber up to date;
+// it is empty when the relay has no room.
+func (r *Relay) Subscribe(now time.Time, from pimentospread.HostID, m *Subscribe, s State) []pimentospread.Outbound {
+	if m.Leaves {
+		delete(r.subscribers, from)
+		return nil
+	}
+	sub, known := r.subscribers[from]
+	if !known {
+		if len(r.subscribers) >= maxSubscribers {
+			return nil
+		}
+		sub = &subscriber{}
+		r.subscribers[from] = sub
+	}
+	sub.address, sub.position, sub.until = m.Address, m.Position, now.Add(r.config.Lease)
+	return []pimentospread.Outbound{r.news(now, from, sub, s)}
+}
+
+// Updated keeps a change of targets, so that subscribers get the change alone.
+// Changes follow each other without a gap.
+func (r *Relay) Updated(u directory.Update) {
+	last := len(r.updates) - 1
+	switch {
+	case last >= 0 && r.updates[last].Revision != u.From:
+		r.updates = []directory.Update{u}
+	case last >= 0 && len(u.Present) == 0 && len(u.Removed) == 0:
+		r.updates[last].Revision = u.Revision
+	default:
+		r.updates = append(r.updates, u)
+	}
+	if len(r.updates) > keptUpdates {
+		r.updates = slices.Delete(r.updates, 0, len(r.updates)-keptUpdates)
+	}
+}
+
+// Configured keeps a configuration, so that subscribers get what changed alone.
+func (r *Relay) Configured(c pimentospread.Configuration) {
+	r.configurations = append(r.configurations, c)
+	if len(r.configurations) > keptConfigurations {
+		r.configurations = slices.Delete(r.configurations, 0, len(r.configurations)-keptConfigurations)
+	}
+}
+
+// Publish returns news for all subscribers, and forgets those that lapsed.
+func (r *Relay) Publish(now time.Time, s State) []pimentospread.Outbound {
+	var out []pimentospread.Outbound
+	for _, id := range r.names() {
+		sub := r.subscribers[id]
+		if now.After(sub.until) {
+			delete(r.subscribers, id)
+			continue
+		}
+		out = append(out, r.news(now, id, sub, s))
+	}
+	return out
+}
+
+// Leave returns the last news for all subscribers.
+func (r *Relay) Leave() []pimentospread.Outbound {
+	var out []pimentospread.Outbound
+	for _, id := range r.names() {
+		out = append(out, pimentospread.Outbound{To: id, Message: &News{Leaves: true}})
+	}
+	return out
+}
+
+// Subscribers returns the addresses of the hosts that hear from this one.
+func (r *Relay) Subscribers() map[pimentospread.HostID]netip.AddrPort {
+	m := make(map[pimentospread.HostID]netip.AddrPort, len(r.subscribers))
+	for id, s := range r.subscribers {
+		m[id] = s.address
+	}
+	return m
+}
+
+func (r *Relay) names() []pimentospread.HostID {
+	names := make([]pimentospread.HostID, 0, len(r.subscribers))
+	for id := range r.subscribers {
+		names = append(names, id)
+	}
+	slices.SortFunc(names, func(a, b pimentospread.HostID) int { return strings.Compare(string(a), string(b)) })
+	return names
+}
+
+// news returns what the subscriber lacks.
+func (r *Relay) news(now time.Time, to pimentospread.HostID, sub *subscriber, s State) pimentospread.Outbound {
+	n := &News{Age: max(now.Sub(s.Confirmed), 0), Path: s.Path, Position: s.position()}
+	if sub.position.Targets < n.Position.Targets {
+		n.Updates = r.updatesAfter(sub.position.Targets, s)
+		n.Grace = s.Directory.Grace(now)
+	}
+	if sub.position.Configuration < n.Position.Configuration {
+		n.Routes = r.routesAfter(sub.position.Configuration, s)
+	}
+	if sub.position.Peers < n.Position.Peers {
+		n.Peers = s.Peers.Hosts
+	}
+	sub.position = Position{
+		Targets:       max(sub.position.Targets, n.Position.Targets),
+		Configuration: max(sub.position.Configuration, n.Position.Configuration),
+		Peers:         max(sub.position.Peers, n.Position.Peers),
+	}
+	return pimentospread.Outbound{To: to, Message: n}
+}
+
+// updatesAfter returns the changes after a revision, or all targets when some are missing.
+func (r *Relay) updatesAfter(revision pimentospread.ObjectVersion, s State) []directory.Update {
+	first := slices.IndexFunc(r.updates, func(u directory.Update) bool { return u.Revision > revision })
+	if first < 0 || revision == 0 || r.updates[first].From > revision {
+		return []directory.Update{s.Directory.Snapshot()}
+	}
+	return slices.Clone(r.updates[first:])
+}
+
+// routesAfter returns the changes after a version, or all routes when it is not kept.
+func (r *Relay) routesAfter(version pimentospread.ConfigurationVersion, s State) *routing.Delta {
+	var from pimentospread.Configuration
+	for _, c := range r.configurations {
+		if c.Version == version {
+			from = c
+		}
+	}
+	d := routing.Between(from, s.Table.Configuration())
+	return &d
+}
--- a/front/belief.go
+++ b/front/belief.go
@@ -8,6 +8,7 @@
 
 	"pimentospread"
 	"pimentospread/directory"
+	"pimentospread/feed"
 	"pimentospread/platform"
 	"pimentospread/ring"
 	"pimentospread/routing"
@@ -24,13 +25,15 @@
 	firstRetry = 50 * time.Millisecond
 	lastRetry  = 500 * time.Millisecond
 	// absentAfter is the silence of the platform after which entries may have
-	// lapsed though their targets live. Entries lapse after three heartbeats.
-	absentAfter = time.Second
+	// lapsed though their targets live. Entries lapse after three heartbeats,
+	// 2.3 s, and a watch ends after a second.
+	absentAfter = 2 * time.Second
 	// tickInterval is how often ages are checked.
 	tickInterval = 250 * time.Millisecond
 )
 
-// belief is the duty that owns what the host believes of routes and targets.
+// belief is the duty that owns what the host believes of routes, targets and
+// other hosts, and from where it hears changes.
 type belief struct {
 	clock     pimentospread.Clock
 	log       *slog.Logger
@@ -40,14 +43,14 @@
 	table     *routing.Table
 	directory *directory.Directory
 	contacts  map[pimentospread.ObjectKind]*contactState
+	neighbors *neighbors
 	// ready says that the host knows enough to take packets.
 	ready atomic.Bool
 	// summary is what the metrics show.
 	summary atomic.Pointer[summary]
-	// changed says that routes or targets changed since the last view, and
-	// confirmed that they are known to be complete up to a later time.
-	changed, confirmed bool
-	view               *steer.View
+	// changed says that routes or targets changed since the last view.
+	changed bool
+	view    *steer.View
 }
 
 // contactState is how the platform answered for one kind of object.
@@ -58,10 +61,13 @@
 
 // summary is a copy of the state for metrics.
 type summary struct {
-	version  pimentospread.ConfigurationVersion
-	revision pimentospread.ObjectVersion
-	targets  int
-	contacts map[pimentospread.ObjectKind]time.Time
+	version   pimentospread.ConfigurationVersion
+	revision  pimentospread.ObjectVersion
+	targets   int
+	confirmed time.Time
+	source    feed.Choice
+	hosts     int
+	followers int
 }
 
 func (b *belief) run(ctx context.Context) error {
@@ -72,15 +78,17 @@
 		case <-ctx.Done():
 			return nil
 		case e := <-b.events.Items():
-			b.hear(e)
+			b.hear(ctx, e)
 		case <-tick.C:
-			b.tell(b.directory.Tick(b.clock.Now()))
+			now := b.clock.Now()
+			b.tell(b.directory.Tick(now))
+			b.neighbors.tick(ctx, now)
 		}
 		b.publish(ctx)
 	}
 }
 
-func (b *belief) hear(e event) {
+func (b *belief) hear(ctx context.Context, e event) {
 	switch e := e.(type) {
 	case contact:
 		b.hearContact(e)
@@ -88,6 +96,12 @@
 		b.hearConfiguration(e.configuration)
 	case targetsHeard:
 		b.hearTargets(e)
+	case hostsHeard:
+		b.neighbors.hearHosts(ctx, b.clock.Now(), e)
+	case message:
+		b.hearMessage(ctx, e.inbound)
+	case leaving:
+		b.neighbors.leave(ctx)
 	}
 }
 
@@ -106,79 +120,128 @@
 			b.log.Info("platform back", "kind", e.kind, "away", e.at.Sub(c.last))
 		}
 		c.last, c.lost = e.at, false
-		b.confirmed = true
+		b.confirm()
 	}
 }
 
+// confirm tells the selector up to when the platform has told everything.
+func (b *belief) confirm() {
+	routes, targets := b.contacts[platform.KindConfiguration], b.contacts[platform.KindTargets]
+	if routes == nil || targets == nil || b.directory.Revision() == 0 || b.table.Version() == 0 {
+		return
+	}
+	confirmed := routes.last
+	if targets.last.Before(confirmed) {
+		confirmed = targets.last
+	}
+	b.neighbors.platformAnswered(confirmed)
+}
+
 func (b *belief) hearConfiguration(c pimentospread.Configuration) {
 	held := b.table.Version()
 	if !b.table.Put(c) {
 		return
 	}
 	b.changed = true
-	b.log.Info("configuration in force", "configuration", c.Version, "before", held, "routes", len(c.Routes))
+	b.neighbors.relay.Configured(c)
+	b.log.Info("configuration in force", "configuration", c.Version, "before", held, "routes", len(c.Routes), "source", b.neighbors.source())
 }
 
 func (b *belief) hearTargets(e targetsHeard) {
 	now := b.clock.Now()
-	if c := b.contacts[platform.KindTargets]; c != nil && now.Sub(c.last) > absentAfter {
+	if b.directory.Revision() > 0 && now.Sub(b.neighbors.selector.Confirmed()) > absentAfter {
 		b.directory.PlatformReturned(now)
 	}
-	b.tell(b.directory.Apply(now, e.update))
+	b.apply(now, e.update)
 	for _, u := range e.unreadable {
 		b.log.Warn("registration is not readable and names no target", "target", u.name, "revision", e.update.Revision, "error", u.reason)
 	}
 }
 
+func (b *belief) apply(now time.Time, u directory.Update) {
+	from := b.directory.Revision()
+	changes := b.directory.Apply(now, u)
+	if to := b.directory.Revision(); to > from {
+		b.neighbors.relay.Updated(directory.Delta(from, to, changes))
+	}
+	b.tell(changes)
+}
+
 // tell logs changes of belief about targets.
 func (b *belief) tell(changes []directory.Change) {
 	for _, c := range changes {
 		b.changed = true
 		r := c.Registration
 		b.log.Info("target "+string(c.What), "target", r.Name, "service", r.Service, "address", r.Address,
-			"target_domain", r.FailureDomain, "born", r.Born, "token", r.Token(), "revision", b.directory.Revision())
+			"target_domain", r.FailureDomain, "born", r.Born, "token", r.Token(), "revision", b.directory.Revision(),
+			"source", b.neighbors.source())
 	}
 }
 
-// publish gives the steering duty a new view after a change.
+// publish gives the steering duty and the subscribers what changed.
 func (b *belief) publish(ctx context.Context) {
-	if !b.changed && !b.confirmed {
-		return
-	}
+	now := b.clock.Now()
+	b.neighbors.publish(ctx, now, b.changed, b.state())
 	if b.changed {
 		b.view = steer.NewView(b.domain, b.table, b.directory)
 	}
-	b.changed, b.confirmed = false, false
-	if b.view == nil {
+	confirmed := b.neighbors.selector.Confirmed()
+	if b.view == nil || !b.changed && confirmed.Equal(b.view.Confirmed) {
 		return
 	}
-	b.view = b.view.At(b.directory.Revision(), b.confirmedAt())
+	b.changed = false
+	b.view = b.view.At(b.directory.Revision(), confirmed)
 	_ = b.views.Put(ctx, b.view)
-	b.summarize()
+	b.summary.Store(&summary{
+		version: b.view.Version, revision: b.view.Revision, targets: b.view.Targets(), confirmed: confirmed,
+		source: b.neighbors.selector.Choice(), hosts: len(b.neighbors.peers.Hosts), followers: len(b.neighbors.relay.Subscribers()),
+	})
 	if v := b.view; v.Version > 0 && v.Revision > 0 && !b.ready.Swap(true) {
 		b.log.Info("host ready", "configuration", v.Version, "revision", v.Revision, "targets", v.Targets())
 	}
 }
 
-// summarize copies what the metrics show.
-func (b *belief) summarize() {
-	s := &summary{
-		version: b.view.Version, revision: b.view.Revision, targets: b.view.Targets(),
-		contacts: make(map[pimentospread.ObjectKind]time.Time, len(b.contacts)),
+// state is what subscribers may hear.
+func (b *belief) state() feed.State {
+	return feed.State{
+		Directory: b.directory, Table: b.table, Peers: b.neighbors.peers,
+		Confirmed: b.neighbors.selector.Confirmed(), Path: b.neighbors.path,
 	}
-	for kind, c := range b.contacts {
-		s.contacts[kind] = c.last
+}
+
+// hearMessage takes a message of another host.
+func (b *belief) hearMessage(ctx context.Context, in pimentospread.Inbound) {
+	switch m := in.Message.(type) {
+	case *feed.Subscribe:
+		b.neighbors.hearSubscribe(ctx, b.clock.Now(), in.From, m, b.state())
+	case *feed.News:
+		b.hearNews(ctx, in.From, m)
+	default:
+		b.log.Error("message is not for the belief duty", "peer", in.From, "kind", in.Message.MessageKind())
 	}
-	b.summary.Store(s)
 }
 
-// confirmedAt returns the time up to which both kinds of belief are known to be complete.
-func (b *belief) confirmedAt() time.Time {
-	var oldest time.Time
-	for _, c := range b.contacts {
-		if oldest.IsZero() || c.last.Before(oldest) {
-			oldest = c.last
+// hearNews takes what another host knows. What does not fit onto the own
+// belief is asked for again by the next subscription.
+func (b *belief) hearNews(ctx context.Context, from pimentospread.HostID, m *feed.News) {
+	now := b.clock.Now()
+	if m.Leaves {
+		b.neighbors.left(ctx, now, from)
+		return
+	}
+	if now.Sub(b.neighbors.selector.Confirmed()) > absentAfter && b.directory.Revision() > 0 {
+		b.directory.PlatformReturned(now)
+	}
+	b.directory.KeepMissing(now, m.Grace)
+	for _, u := range m.Updates {
+		b.apply(now, u)
+	}
+	if m.Routes != nil {
+		if c, ok := m.Routes.Apply(b.table.Configuration()); ok {
+			b.hearConfiguration(c)
 		}
 	}
-	return oldest
+	b.neighbors.hearNews(ctx, now, from, m, feed.Position{
+		Targets: b.directory.Revision(), Configuration: b.table.Version(), Peers: b.neighbors.peers.Revision,
+	})
 }
--- a/front/events.go
+++ b/front/events.go
@@ -7,6 +7,7 @@
 
 	"pimentospread"
 	"pimentospread/directory"
+	"pimentospread/feed"
 )
 
 // event is what the belief duty hears.
@@ -37,6 +38,23 @@
 	err error
 }
 
+// hostsHeard is an update of the hosts of the system.
+type hostsHeard struct {
+	full     bool
+	revision pimentospread.ObjectVersion
+	present  []feed.Peer
+	removed  []pimentospread.HostID
+}
+
+// message is what another host sent.
+type message struct{ inbound pimentospread.Inbound }
+
+// leaving says that this host is about to stop.
+type leaving struct{}
+
+func (hostsHeard) isEvent()         {}
+func (message) isEvent()            {}
+func (leaving) isEvent()            {}
 func (targetsHeard) isEvent()       {}
 func (configurationHeard) isEvent() {}
 func (contact) isEvent()            {}
--- a/front/front.go
+++ b/front/front.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"log/slog"
 	"net"
 	"net/netip"
@@ -16,6 +17,7 @@
 	"pimentospread/duty"
 	"pimentospread/feed"
 	"pimentospread/inflight"
+	"pimentospread/peer"
 	"pimentospread/platform"
 	"pimentospread/ring"
 	"pimentospread/routing"
@@ -30,6 +32,13 @@
 const eventCapacity = 256
 
 const (
+	// linkQueue bounds the messages that wait for one host. Only the newest count.
+	linkQueue = 64
+	// linkDeadline bounds a dial and a write to another host. A source that
+	// takes longer is left by then.
+	linkDeadline = time.Second
+	// removalCapacity is above the entries that are removed at a time.
+	removalCapacity = 16
 	// maxTracked bounds the flows whose load is tracked: 79 million flows over
 	// 13,000 hosts are 6,100 for each.
 	maxTracked = 16384
@@ -46,53 +55,67 @@
 // Deps are the dependencies of a Front.
 type Deps struct {
 	Settings settings.Settings
-	Clock    pimentospread.Clock
-	Log      *telemetry.Log
-	Metrics  *telemetry.Registry
-	// Feed reads the platform. Nil means a client of the settings' platform.
-	Feed pimentospread.ObjectFeed
+	// Source is read again when the settings change.
+	Source settings.Source
+	Clock  pimentospread.Clock
+	// Output takes the log.
+	Output io.Writer
+	// Objects is the platform. Nil means a client of the settings' platform.
+	Objects Objects
+}
+
+// Objects is what a host reads of the platform, and keeps there.
+type Objects interface {
+	pimentospread.ObjectFeed
+	pimentospread.ObjectBook
 }
 
 // Front is an entry host for packets with tokens: its sockets and its duties.
 type Front struct {
 	settings settings.Settings
+	source   settings.Source
+	level    slog.LevelVar
 	clock    pimentospread.Clock
 	logDuty  *telemetry.Log
 	log      *slog.Logger
 	metrics  *telemetry.Registry
 	sockets  sockets
 
-	steering *steering
-	belief   *belief
-	watchers []*watcher
-	health   *health
+	steering  *steering
+	belief    *belief
+	watchers  []*watcher
+	registrar *registrar
+	network   *peer.Network
+	health    *health
 }
 
 var _ pimentospread.Front = (*Front)(nil)
 
 // sockets are the addresses at which a front listens.
 type sockets struct {
-	data         *udp.Socket
-	ready, admin net.Listener
+	data               *udp.Socket
+	ready, admin, peer net.Listener
 }
 
 // New opens the sockets and builds the duties. Run starts them.
 func New(d Deps) (*Front, error) {
-	f := &Front{settings: d.Settings, clock: d.Clock, logDuty: d.Log, metrics: d.Metrics}
-	f.log = d.Log.With("host", d.Settings.Host, "failure_domain", d.Settings.FailureDomain)
+	f := &Front{settings: d.Settings, source: d.Source, clock: d.Clock, metrics: telemetry.NewRegistry()}
+	f.level.Set(d.Settings.Level())
+	f.logDuty = telemetry.NewLog(telemetry.LogConfig{Output: d.Output, Text: d.Settings.LogFormat == "text", Level: &f.level})
+	f.log = f.logDuty.With("host", d.Settings.Host, "failure_domain", d.Settings.FailureDomain)
 	limitMemory(d.Settings.MemoryLimitMB)
-	if d.Feed == nil {
+	if d.Objects == nil {
 		base, err := url.Parse(d.Settings.PlatformURL)
 		if err != nil {
 			return nil, pimentospread.At(pimentospread.ErrInvalid.Wrap(err, "PlatformURL is not a URL"), "build", "")
 		}
-		d.Feed = platform.NewClient(platform.Deps{Base: base, Timeout: listTimeout})
+		d.Objects = platform.NewClient(platform.Deps{Base: base, Timeout: listTimeout})
 	}
 	if err := f.open(); err != nil {
 		f.close()
 		return nil, err
 	}
-	f.build(d.Feed)
+	f.build(d.Objects)
 	return f, nil
 }
 
@@ -114,7 +137,10 @@
 	if f.sockets.ready, err = listenTCP(f.settings.ReadyAddress); err != nil {
 		return err
 	}
-	f.sockets.admin, err = listenTCP(f.settings.AdminAddress)
+	if f.sockets.admin, err = listenTCP(f.settings.AdminAddress); err != nil {
+		return err
+	}
+	f.sockets.peer, err = listenTCP(f.settings.PeerAddress)
 	return err
 }
 
@@ -132,7 +158,7 @@
 	if f.sockets.data != nil {
 		err = errors.Join(err, f.sockets.data.Close())
 	}
-	for _, l := range []net.Listener{f.sockets.ready, f.sockets.admin} {
+	for _, l := range []net.Listener{f.sockets.ready, f.sockets.admin, f.sockets.peer} {
 		if l != nil {
 			err = errors.Join(err, l.Close())
 		}
@@ -142,44 +168,95 @@
 	}
 }
 
-func (f *Front) build(objects pimentospread.ObjectFeed) {
+func (f *Front) build(objects Objects) {
 	s := f.settings
 	events := ring.New[event](eventCapacity, ring.Wait)
 	views := ring.New[*steer.View](1, ring.DropOldest)
 	f.steering = &steering{
 		socket: f.sockets.data, clock: f.clock, views: views, log: f.log,
-		steerer: steer.New(
-			steer.Weights{Remote: s.RemoteCost, Cold: float64(s.ColdSpeed)},
-			inflight.New(inflight.Config{
-				MaxFlows: maxTracked, Averaging: loadAveraging, LongestCount: longestCount, FlowLifetime: s.FlowLifetime.Duration,
-			}),
-			doubt.New(doubt.Config{FirstTrial: firstTrial, LastTrial: lastTrial}),
-		),
-		counters:   newCounters(f.metrics),
+		steerer: newSteerer(s), counters: newCounters(f.metrics),
 		callerPort: f.sockets.data.Address().Port(), logShare: pimentospread.FlowID(s.FlowLogShare),
+		settings: ring.New[settings.Settings](1, ring.DropOldest),
+	}
+	f.network = peer.NewNetwork(peer.Deps{
+		Self: s.Host, Incarnation: pimentospread.Incarnation(f.clock.Now().UnixNano()), Listener: f.sockets.peer,
+		Registry: feed.Constructors(), Inbox: inbox{events}, Metrics: f.metrics, Log: f.log,
+		Queue: linkQueue, Deadline: linkDeadline, Trusted: s.TrustedNetwork,
+	})
+	f.registrar = &registrar{
+		self: f.self(), book: objects, clock: f.clock, log: f.log,
+		missing: ring.New[struct{}](1, ring.DropOldest),
+		remove:  ring.New[pimentospread.HostID](removalCapacity, ring.Refuse),
 	}
 	f.belief = &belief{
-		clock: f.clock, log: f.log, events: events, views: views,
-		domain: s.FailureDomain,
-		table:  routing.New(),
+		clock: f.clock, log: f.log, events: events, views: views, domain: s.FailureDomain,
+		table: routing.New(),
 		directory: directory.New(directory.Config{
 			DepartedFor: s.FlowLifetime.Duration, ReturnGrace: s.ReturnGrace.Duration,
 		}),
-		contacts: map[pimentospread.ObjectKind]*contactState{},
+		contacts:  map[pimentospread.ObjectKind]*contactState{},
+		neighbors: f.newNeighbors(),
 	}
-	f.addWatcher(objects, platform.KindConfiguration, translateConfiguration)
-	f.addWatcher(objects, platform.KindTargets, translateTargets)
+	f.addWatcher(objects, platform.KindConfiguration, s.PlatformWait.Duration, translateConfiguration)
+	f.addWatcher(objects, platform.KindTargets, s.PlatformWait.Duration, translateTargets)
+	f.addWatcher(objects, pimentospread.KindHost, hostsWait, translateHosts)
 	f.health = newHealth(f)
 }
 
-func (f *Front) addWatcher(objects pimentospread.ObjectFeed, kind pimentospread.ObjectKind, translate translation) {
-	f.watchers = append(f.watchers, &watcher{
+func newSteerer(s settings.Settings) *steer.Steerer {
+	return steer.New(
+		weights(s),
+		inflight.New(inflight.Config{
+			MaxFlows: maxTracked, Averaging: loadAveraging, LongestCount: longestCount, FlowLifetime: s.FlowLifetime.Duration,
+		}),
+		doubt.New(doubt.Config{FirstTrial: firstTrial, LastTrial: lastTrial}),
+	)
+}
+
+func weights(s settings.Settings) steer.Weights {
+	return steer.Weights{Remote: s.RemoteCost, Cold: float64(s.ColdSpeed)}
+}
+
+func (f *Front) self() feed.Peer {
+	address := f.sockets.peer.Addr().(*net.TCPAddr).AddrPort()
+	return feed.Peer{
+		Host: f.settings.Host, FailureDomain: f.settings.FailureDomain,
+		Address: netip.AddrPortFrom(address.Addr().Unmap(), address.Port()),
+	}
+}
+
+func (f *Front) newNeighbors() *neighbors {
+	now := f.clock.Now()
+	return &neighbors{
+		self: f.self(), log: f.log, network: f.network, missing: f.registrar.missing, remove: f.registrar.remove,
+		selector: feed.NewSelector(now, feed.SelectorConfig{
+			Self: f.settings.Host, Domain: f.settings.FailureDomain, Settle: settleTime,
+			RelayPatience: relayPatience, Patience: followerPatience, Avoid: avoidTime,
+		}),
+		relay:   feed.NewRelay(feed.RelayConfig{Lease: subscriptionLease}),
+		heard:   map[pimentospread.HostID]time.Time{},
+		started: now,
+	}
+}
+
+// inbox hands messages of other hosts to the belief duty.
+type inbox struct{ events *ring.Ring[event] }
+
+// Put queues a message.
+func (i inbox) Put(ctx context.Context, in pimentospread.Inbound) error {
+	return i.events.Put(ctx, message{in})
+}
+
+func (f *Front) addWatcher(objects pimentospread.ObjectFeed, kind pimentospread.ObjectKind, wait time.Duration, translate translation) {
+	w := &watcher{
 		kind: kind, feed: objects, clock: f.clock, events: f.belief.events, translate: translate,
 		cursor: feed.NewCursor(feed.CursorConfig{
-			Wait: f.settings.PlatformWait.Duration, Relist: relistInterval, FirstRetry: firstRetry, LastRetry: lastRetry,
+			Wait: wait, Relist: relistInterval, FirstRetry: firstRetry, LastRetry: lastRetry,
 		}),
 		active: ring.New[bool](1, ring.DropOldest), calls: f.metrics, log: f.log,
-	})
+	}
+	f.watchers = append(f.watchers, w)
+	f.belief.neighbors.activity = append(f.belief.neighbors.activity, w.active)
 }
 
 // Run starts all duties, waits for the context to end, and shuts down.
@@ -196,6 +273,9 @@
 	for _, w := range f.watchers {
 		g.Go("watch "+string(w.kind), w.run)
 	}
+	g.Go("peers", f.network.Run)
+	g.Go("register", f.registrar.run)
+	g.Go("settings", f.reload)
 	g.Go("ready", func(ctx context.Context) error { return f.health.serve(ctx, f.sockets.ready) })
 	g.Go("admin", func(ctx context.Context) error { return f.health.serve(ctx, f.sockets.admin) })
 	f.log.Info("host started", "data", f.sockets.data.Address(), "ready", f.settings.ReadyAddress, "admin", f.settings.AdminAddress, "platform", f.settings.PlatformURL)
--- a/front/health.go
+++ b/front/health.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -73,12 +72,15 @@
 	f.metrics.Gauge("pimentospread_configuration_version", f.gauge(func(s *summary) float64 { return float64(s.version) }))
 	f.metrics.Gauge("pimentospread_platform_revision", f.gauge(func(s *summary) float64 { return float64(s.revision) }))
 	f.metrics.Gauge("pimentospread_targets", f.gauge(func(s *summary) float64 { return float64(s.targets) }))
-	for _, w := range f.watchers {
-		kind := w.kind
-		f.metrics.Gauge(fmt.Sprintf("pimentospread_belief_age_seconds{kind=%q}", kind), f.gauge(func(s *summary) float64 {
-			return f.clock.Now().Sub(s.contacts[kind]).Seconds()
-		}))
-	}
+	f.metrics.Gauge("pimentospread_belief_age_seconds", f.gauge(func(s *summary) float64 { return f.clock.Now().Sub(s.confirmed).Seconds() }))
+	f.metrics.Gauge("pimentospread_hosts", f.gauge(func(s *summary) float64 { return float64(s.hosts) }))
+	f.metrics.Gauge("pimentospread_followers", f.gauge(func(s *summary) float64 { return float64(s.followers) }))
+	f.metrics.Gauge("pimentospread_reads_platform", f.gauge(func(s *summary) float64 {
+		if s.source.Platform {
+			return 1
+		}
+		return 0
+	}))
 	f.metrics.Gauge("pimentospread_log_lines_dropped", func() float64 { return float64(f.logDuty.Dropped()) })
 }
 
--- /dev/null
+++ b/front/neighbors.go
@@ -0,0 +1,282 @@
+package front
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"pimentospread"
+	"pimentospread/feed"
+	"pimentospread/ring"
+)
+
+const (
+	// settleTime is what hosts that start together take to find each other.
+	settleTime = 2 * time.Second
+	// relayPatience and followerPatience are above the longest silence of a
+	// sound source, a watch and a news interval together, and leave time for
+	// the next source within the bounds of 3 s for drains and configurations.
+	relayPatience    = 1400 * time.Millisecond
+	followerPatience = 1800 * time.Millisecond
+	// avoidTime spares a source that went stale.
+	avoidTime = 10 * time.Second
+	// newsInterval is the time between two news without changes.
+	newsInterval = 500 * time.Millisecond
+	// subscribeInterval renews a subscription, and subscriptionLease is three
+	// of them with some room, so that one may be lost.
+	subscribeInterval = time.Second
+	subscriptionLease = 3500 * time.Millisecond
+	// hostsWait is how long the platform holds a watch of the hosts. Their
+	// changes only move the sources, which notice a lost one by themselves.
+	hostsWait = 10 * time.Second
+	// lastRegisterRetry bounds the pause after a failed registration.
+	lastRegisterRetry = 4 * time.Second
+	// forgetAfter is the silence after which the entry of a host of the own
+	// failure domain is removed. A replaced host comes back under its name sooner.
+	forgetAfter = 2 * time.Minute
+)
+
+// network carries messages to other hosts.
+type network interface {
+	SetPeers(ctx context.Context, peers map[pimentospread.HostID]netip.AddrPort) error
+	Send(ctx context.Context, message pimentospread.Outbound) error
+}
+
+// neighbors is the part of the belief duty that hears from other hosts and
+// passes on what this host hears.
+type neighbors struct {
+	self     feed.Peer
+	log      *slog.Logger
+	selector *feed.Selector
+	relay    *feed.Relay
+	network  network
+	// activity tells the watchers whether to read the platform.
+	activity []*ring.Ring[bool]
+	// missing and remove are the rings of the registrar.
+	missing *ring.Ring[struct{}]
+	remove  *ring.Ring[pimentospread.HostID]
+
+	peers feed.Peers
+	path  []pimentospread.HostID
+	// heard is when each host was last heard of.
+	heard      map[pimentospread.HostID]time.Time
+	linked     map[pimentospread.HostID]netip.AddrPort
+	position   feed.Position
+	subscribed time.Time
+	published  time.Time
+	started    time.Time
+	// stopping says that the host no longer takes part.
+	stopping bool
+}
+
+// source names where the host hears changes from, for the log.
+func (n *neighbors) source() string {
+	if len(n.path) > 0 {
+		return string(n.path[0])
+	}
+	return "platform"
+}
+
+func (n *neighbors) platformAnswered(confirmed time.Time) {
+	if confirmed.After(n.selector.Confirmed()) {
+		n.path = nil
+	}
+	n.selector.PlatformAnswered(confirmed)
+}
+
+// hearHosts takes an update of the hosts from the platform.
+func (n *neighbors) hearHosts(ctx context.Context, now time.Time, e hostsHeard) {
+	held := map[pimentospread.HostID]feed.Peer{}
+	if !e.full {
+		for _, p := range n.peers.Hosts {
+			held[p.Host] = p
+		}
+	}
+	for _, p := range e.present {
+		held[p.Host] = p
+	}
+	for _, id := range e.removed {
+		delete(held, id)
+	}
+	if e.revision < n.peers.Revision {
+		return
+	}
+	hosts := make([]feed.Peer, 0, len(held))
+	for _, p := range held {
+		hosts = append(hosts, p)
+	}
+	n.setPeers(ctx, now, feed.Peers{Revision: e.revision, Hosts: hosts})
+}
+
+// setPeers takes the hosts. A list without this host shows that its entry was
+// removed, unless the host has just started.
+func (n *neighbors) setPeers(ctx context.Context, now time.Time, p feed.Peers) {
+	if self, ok := p.Find(n.self.Host); (!ok || self != n.self) && !n.stopping && now.Sub(n.started) >= settleTime {
+		_ = n.missing.Put(ctx, struct{}{})
+	}
+	slices.SortFunc(p.Hosts, func(a, b feed.Peer) int { return strings.Compare(string(a.Host), string(b.Host)) })
+	changed := !slices.Equal(n.peers.Hosts, p.Hosts)
+	n.peers = p
+	if !changed {
+		return
+	}
+	n.selector.SetPeers(p.Hosts)
+	n.log.Info("hosts changed", "hosts", len(p.Hosts), "revision", p.Revision, "relay", n.selector.Relay())
+}
+
+func (n *neighbors) hearSubscribe(ctx context.Context, now time.Time, from pimentospread.HostID, m *feed.Subscribe, s feed.State) {
+	n.heard[from] = now
+	answers := n.relay.Subscribe(now, from, m, s)
+	n.link(ctx)
+	n.send(ctx, answers)
+}
+
+func (n *neighbors) hearNews(ctx context.Context, now time.Time, from pimentospread.HostID, m *feed.News, position feed.Position) {
+	before := n.selector.Confirmed()
+	n.selector.Heard(now, from, m.Age, m.Path)
+	if n.selector.Confirmed().After(before) {
+		n.path = append([]pimentospread.HostID{from}, m.Path...)
+	}
+	if m.Peers != nil && m.Position.Peers > n.peers.Revision {
+		n.setPeers(ctx, now, feed.Peers{Revision: m.Position.Peers, Hosts: m.Peers})
+		position.Peers = n.peers.Revision
+	}
+	n.position = position
+	if from == n.selector.Choice().Peer && behind(position, m.Position) {
+		n.subscribe(ctx, now)
+	}
+}
+
+func behind(a, b feed.Position) bool {
+	return a.Targets < b.Targets || a.Configuration < b.Configuration
+}
+
+func (n *neighbors) left(ctx context.Context, now time.Time, from pimentospread.HostID) {
+	n.selector.Left(now, from)
+	n.decide(ctx, now)
+}
+
+// tick renews subscriptions and changes the source when it is stale.
+func (n *neighbors) tick(ctx context.Context, now time.Time) {
+	n.decide(ctx, now)
+	if now.Sub(n.subscribed) >= subscribeInterval {
+		n.subscribe(ctx, now)
+	}
+	n.forget(ctx, now)
+}
+
+func (n *neighbors) decide(ctx context.Context, now time.Time) {
+	if n.stopping {
+		return
+	}
+	before := n.selector.Choice()
+	next, changed := n.selector.Decide(now)
+	if !changed {
+		return
+	}
+	n.log.Info("source of changes chosen", "platform", next.Platform, "peer", next.Peer, "peer_before", before.Peer,
+		"age", now.Sub(n.selector.Confirmed()), "relay", n.selector.Relay())
+	if next.Platform != before.Platform {
+		for _, r := range n.activity {
+			_ = r.Put(ctx, next.Platform)
+		}
+	}
+	if next.Peer == before.Peer {
+		return
+	}
+	if before.Peer != "" {
+		n.send(ctx, []pimentospread.Outbound{{To: before.Peer, Message: &feed.Subscribe{Address: n.self.Address, Leaves: true}}})
+	}
+	n.link(ctx)
+	n.subscribe(ctx, now)
+}
+
+func (n *neighbors) subscribe(ctx context.Context, now time.Time) {
+	peer := n.selector.Choice().Peer
+	if peer == "" || n.stopping {
+		return
+	}
+	n.subscribed = now
+	n.send(ctx, []pimentospread.Outbound{{To: peer, Message: &feed.Subscribe{Address: n.self.Address, Position: n.position}}})
+}
+
+// publish sends news to subscribers after a change, and now and then without one.
+func (n *neighbors) publish(ctx context.Context, now time.Time, changed bool, s feed.State) {
+	n.position = feed.Position{Targets: s.Directory.Revision(), Configuration: s.Table.Version(), Peers: n.peers.Revision}
+	if n.stopping || !changed && now.Sub(n.published) < newsInterval {
+		return
+	}
+	n.published = now
+	n.send(ctx, n.relay.Publish(now, s))
+	n.link(ctx)
+}
+
+// link keeps connections to the source and to the subscribers alone.
+func (n *neighbors) link(ctx context.Context) {
+	want := n.relay.Subscribers()
+	if p, ok := n.peers.Find(n.selector.Choice().Peer); ok {
+		want[p.Host] = p.Address
+	}
+	if equalLinks(want, n.linked) {
+		return
+	}
+	n.linked = want
+	_ = n.network.SetPeers(ctx, want)
+}
+
+func equalLinks(a, b map[pimentospread.HostID]netip.AddrPort) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for id, address := range a {
+		if b[id] != address {
+			return false
+		}
+	}
+	return true
+}
+
+// leave tells subscribers and the source that this host stops.
+func (n *neighbors) leave(ctx context.Context) {
+	n.stopping = true
+	n.send(ctx, n.relay.Leave())
+	if peer := n.selector.Choice().Peer; peer != "" {
+		n.send(ctx, []pimentospread.Outbound{{To: peer, Message: &feed.Subscribe{Address: n.self.Address, Leaves: true}}})
+	}
+	_ = n.remove.Put(ctx, n.self.Host)
+}
+
+// forget removes the entries of hosts of the own failure domain that have long
+// not been heard of. Only the host that the others hear from can tell.
+func (n *neighbors) forget(ctx context.Context, now time.Time) {
+	if !n.selector.Relay() {
+		clear(n.heard)
+		return
+	}
+	for _, p := range n.peers.Hosts {
+		if p.Host == n.self.Host || p.FailureDomain != n.self.FailureDomain {
+			continue
+		}
+		last, ok := n.heard[p.Host]
+		if !ok {
+			n.heard[p.Host] = now
+			continue
+		}
+		if now.Sub(last) >= forgetAfter {
+			n.heard[p.Host] = now
+			_ = n.remove.Put(ctx, p.Host)
+		}
+	}
+}
+
+// send queues messages. One that is lost is repeated by the next subscription.
+func (n *neighbors) send(ctx context.Context, messages []pimentospread.Outbound) {
+	for _, m := range messages {
+		if err := n.network.Send(ctx, m); err != nil {
+			n.log.Debug("message to peer not queued", "peer", m.To, "kind", m.Message.MessageKind(), "error", err)
+		}
+	}
+}
--- /dev/null
+++ b/front/registrar.go
@@ -0,0 +1,120 @@
+package front
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net/netip"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"pimentospread"
+	"pimentospread/feed"
+	"pimentospread/ring"
+)
+
+// hostEntry is what a host writes of itself into the platform, so that the
+// others find it. An entry holds nothing that changes with a restart, so that
+// a restart costs no write.
+type hostEntry struct {
+	FailureDomain pimentospread.FailureDomain `json:"FailureDomain"`
+	PeerAddress   netip.AddrPort              `json:"PeerAddress"`
+}
+
+// registrar is the duty that keeps the entry of this host in the platform.
+type registrar struct {
+	self  feed.Peer
+	book  pimentospread.ObjectBook
+	clock pimentospread.Clock
+	// missing says that the platform has no entry of this host, or another one.
+	missing *ring.Ring[struct{}]
+	// remove names hosts whose entries nobody needs.
+	remove *ring.Ring[pimentospread.HostID]
+	log    *slog.Logger
+}
+
+func (r *registrar) run(ctx context.Context) error {
+	r.register(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-r.missing.Items():
+			r.register(ctx)
+		case host := <-r.remove.Items():
+			r.unregister(ctx, host)
+		}
+	}
+}
+
+// register writes the entry until the platform has it.
+func (r *registrar) register(ctx context.Context) {
+	pause := firstRetry
+	for ctx.Err() == nil {
+		err := r.write(ctx)
+		if err == nil {
+			return
+		}
+		r.log.Warn("host is not registered with the platform; trying again", "error", err, "pause", pause)
+		t := time.NewTimer(pause)
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+		t.Stop()
+		pause = min(2*pause, lastRegisterRetry)
+	}
+}
+
+// write changes the entry only where it differs. A conflict or an answer that
+// was lost shows in the next reading.
+func (r *registrar) write(ctx context.Context) error {
+	key := pimentospread.ObjectKey{Kind: pimentospread.KindHost, Name: string(r.self.Host)}
+	want := hostEntry{FailureDomain: r.self.FailureDomain, PeerAddress: r.self.Address}
+	held, err := r.book.Get(ctx, key)
+	if err != nil && !errorx.IsOfType(err, pimentospread.ErrNotFound) {
+		return err
+	}
+	var found hostEntry
+	if err == nil && json.Unmarshal(held.Value, &found) == nil && found == want {
+		return nil
+	}
+	value, err := json.Marshal(want)
+	if err != nil {
+		return pimentospread.At(pimentospread.ErrInvalid.Wrap(err, "entry of the host"), "encode", "")
+	}
+	_, err = r.book.Put(ctx, key, value, held.Version)
+	return err
+}
+
+// unregister removes the entry of a host. When that fails the entry stays until
+// another host removes it.
+func (r *registrar) unregister(ctx context.Context, host pimentospread.HostID) {
+	key := pimentospread.ObjectKey{Kind: pimentospread.KindHost, Name: string(host)}
+	held, err := r.book.Get(ctx, key)
+	if err == nil {
+		err = r.book.Delete(ctx, key, held.Version)
+	}
+	if err != nil && !errorx.IsOfType(err, pimentospread.ErrNotFound) {
+		r.log.Warn("entry of a host is not removed from the platform", "peer", host, "error", err)
+		return
+	}
+	r.log.Info("entry of a host removed from the platform", "peer", host)
+}
+
+// translateHosts turns objects into an update of the hosts.
+func translateHosts(full bool, _, revision pimentospread.ObjectVersion, changes []pimentospread.Change) (event, error) {
+	e := hostsHeard{full: full, revision: revision}
+	for _, c := range changes {
+		var entry hostEntry
+		if c.Deleted || json.Unmarshal(c.Value, &entry) != nil || !entry.PeerAddress.IsValid() {
+			e.removed = append(e.removed, pimentospread.HostID(c.Name))
+			continue
+		}
+		e.present = append(e.present, feed.Peer{
+			Host: pimentospread.HostID(c.Name), FailureDomain: entry.FailureDomain, Address: entry.PeerAddress,
+		})
+	}
+	return e, nil
+}
--- a/front/shutdown.go
+++ b/front/shutdown.go
@@ -24,6 +24,9 @@
 	grace := f.settings.ShutdownGrace.Duration
 	f.log.Info("shutdown started", "grace", grace)
 	f.health.leaving.Store(true)
+	if err := f.belief.events.Put(ctx, leaving{}); err != nil {
+		f.log.Warn("shutdown could not be announced to other hosts", "error", err)
+	}
 	check := time.NewTicker(quietCheck)
 	defer check.Stop()
 	for {
--- a/front/steering.go
+++ b/front/steering.go
@@ -13,6 +13,7 @@
 	"pimentospread"
 	"pimentospread/platform"
 	"pimentospread/ring"
+	"pimentospread/settings"
 	"pimentospread/steer"
 	"pimentospread/udp"
 )
@@ -31,6 +32,8 @@
 	callerPort uint16
 	// logShare is the number of flows of which one is logged.
 	logShare pimentospread.FlowID
+	// settings carries changed settings.
+	settings *ring.Ring[settings.Settings]
 	// lastPacket is the time of the last packet in nanoseconds since the Unix epoch, for the shutdown.
 	lastPacket atomic.Int64
 	buffer     platform.Buffer
@@ -53,16 +56,19 @@
 			s.log.Warn("datagram not received", "peer", from, "error", err)
 			continue
 		}
-		s.takeView()
+		s.takeChanges()
 		s.handle(n)
 	}
 }
 
-// takeView takes the newest view without waiting; the duty waits on the socket.
-func (s *steering) takeView() {
+// takeChanges takes the newest view and settings without waiting; the duty waits on the socket.
+func (s *steering) takeChanges() {
 	select {
 	case v := <-s.views.Items():
 		s.steerer.SetView(v)
+	case n := <-s.settings.Items():
+		s.logShare = pimentospread.FlowID(n.FlowLogShare)
+		s.steerer.SetWeights(weights(n))
 	default:
 	}
 }
--- a/host/serve.go
+++ b/host/serve.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"io"
-	"log/slog"
 	"os"
 	"strings"
 
@@ -17,7 +16,11 @@
 
 // Serve runs an entry host with the given settings until the context ends, and
 // then shuts it down gracefully.
-func Serve(ctx context.Context, data []byte) error {
+func Serve(ctx context.Context, source settings.Source) error {
+	data, err := source.Read()
+	if err != nil {
+		return err
+	}
 	s, faults, err := settings.Decode(data)
 	if err != nil {
 		return err
@@ -25,7 +28,7 @@
 	if len(faults) > 0 {
 		return invalidSettings(faults)
 	}
-	f, err := newFront(s)
+	f, err := newFront(s, source)
 	if err != nil {
 		return err
 	}
@@ -33,10 +36,10 @@
 }
 
 // newFront returns the front of the encapsulation in the settings.
-func newFront(s settings.Settings) (pimentospread.Front, error) {
+func newFront(s settings.Settings, source settings.Source) (pimentospread.Front, error) {
 	if s.Encapsulation == settings.Token {
 		return front.New(front.Deps{
-			Settings: s, Clock: pimentospread.SystemClock{}, Metrics: telemetry.NewRegistry(), Log: newLog(s, os.Stdout, nil),
+			Settings: s, Source: source, Clock: pimentospread.SystemClock{}, Output: os.Stdout,
 		})
 	}
 	return New(Deps{Settings: s, Clock: pimentospread.SystemClock{}, LogOutput: os.Stdout})
@@ -51,8 +54,5 @@
 }
 
 func newLog(s settings.Settings, w io.Writer, generation func() pimentospread.Generation) *telemetry.Log {
-	var level slog.Level
-	// The settings were checked; an unknown level keeps the default.
-	_ = level.UnmarshalText([]byte(s.LogLevel))
-	return telemetry.NewLog(telemetry.LogConfig{Output: w, Text: s.LogFormat == "text", Level: level, Generation: generation})
+	return telemetry.NewLog(telemetry.LogConfig{Output: w, Text: s.LogFormat == "text", Level: s.Level(), Generation: generation})
 }
--- a/peer/network.go
+++ b/peer/network.go
@@ -42,8 +42,10 @@
 	// cell counts the peer as dead in any case.
 	Deadline time.Duration
 	// Keys authenticate both sides of each connection. Nil means plain TCP,
-	// which is dialed on loopback addresses only.
+	// which is dialed on loopback addresses only, or anywhere with Trusted.
 	Keys *keys.Store
+	// Trusted says that the network keeps others away from the peers' addresses.
+	Trusted bool
 	// RenewAfter is the age at which a connection with keys is replaced, so that
 	// rotated keys come into use and expired ones go out of use. Zero means 1 h:
 	// 15 peers then cost 720 handshakes a day, and a host's restarts 240.
--- a/peer/secure.go
+++ b/peer/secure.go
@@ -43,7 +43,7 @@
 // dial opens a connection to the peer and checks that it is the peer's.
 func (l *link) dial(ctx context.Context) (net.Conn, error) {
 	n := l.network
-	if n.deps.Keys == nil && !l.address.Addr().Unmap().IsLoopback() {
+	if n.deps.Keys == nil && !n.deps.Trusted && !l.address.Addr().Unmap().IsLoopback() {
 		err := keys.RefusePlain(l.peer, l.address)
 		n.metrics.handshake(dialing, err)
 		n.deps.Log.Warn("connection to peer refused", "peer", l.peer, "cause", keys.CauseOf(err), "error", err)
--- a/platform.go
+++ b/platform.go
@@ -14,6 +14,7 @@
 	KindRelease ObjectKind = "Release"
 	KindArchive ObjectKind = "ReleaseArchive"
 	KindRoster  ObjectKind = "Roster"
+	KindHost    ObjectKind = "EntryHost"
 )
 
 // ObjectKey identifies an object of the platform.
@@ -69,3 +70,13 @@
 	// when the platform no longer has the history; the caller then lists.
 	Changes(ctx context.Context, kind ObjectKind, after ObjectVersion, wait time.Duration) (Changes, error)
 }
+
+// ObjectBook keeps objects that come and go with their owner.
+type ObjectBook interface {
+	// Get returns the object. A missing object gives an error of type ErrNotFound.
+	Get(ctx context.Context, key ObjectKey) (Object, error)
+	// Put writes the value if the object still has the expected version; zero creates it.
+	Put(ctx context.Context, key ObjectKey, value json.RawMessage, expected ObjectVersion) (ObjectVersion, error)
+	// Delete removes the object if it still has the expected version.
+	Delete(ctx context.Context, key ObjectKey, expected ObjectVersion) error
+}
--- a/routing/delta.go
+++ b/routing/delta.go
@@ -1,6 +1,8 @@
 package routing
 
 import (
+	"time"
+
 	"pimentospread"
 )
 
@@ -8,14 +10,14 @@
 // zero it is a whole configuration.
 type Delta struct {
 	From, To    pimentospread.ConfigurationVersion
-	IdleTimeout pimentospread.Duration
+	IdleTimeout time.Duration
 	Changed     []pimentospread.Route
 	Removed     []pimentospread.RouteName
 }
 
 // Between returns the delta that leads from one configuration to the other.
 func Between(from, to pimentospread.Configuration) Delta {
-	d := Delta{From: from.Version, To: to.Version, IdleTimeout: pimentospread.Duration{Duration: to.IdleTimeout}}
+	d := Delta{From: from.Version, To: to.Version, IdleTimeout: to.IdleTimeout}
 	held := byName(from.Routes)
 	for _, r := range to.Routes {
 		if old, ok := held[r.Name]; !ok || !old.Equal(r) {
@@ -45,7 +47,7 @@
 	for _, name := range d.Removed {
 		removed[name] = true
 	}
-	next := pimentospread.Configuration{Version: d.To, IdleTimeout: d.IdleTimeout.Duration}
+	next := pimentospread.Configuration{Version: d.To, IdleTimeout: d.IdleTimeout}
 	for _, r := range base {
 		if n, ok := changed[r.Name]; ok {
 			r = n
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -2,6 +2,7 @@
 package settings
 
 import (
+	"log/slog"
 	"net/netip"
 	"time"
 
@@ -116,3 +117,12 @@
 		LogLevel:       "info",
 	}
 }
+
+// Level returns the log level. Settings that were checked have one.
+func (s Settings) Level() slog.Level {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(s.LogLevel)); err != nil {
+		return slog.LevelInfo
+	}
+	return level
+}
--- a/steer/steerer.go
+++ b/steer/steerer.go
@@ -82,6 +82,9 @@
 	return of
 }
 
+// SetWeights replaces how targets are compared.
+func (s *Steerer) SetWeights(w Weights) { s.weights = w }
+
 // View returns what the steerer believes. It is nil at first.
 func (s *Steerer) View() *View { return s.view }
 
