Pass news on as soon as the belief is fresher

Change: news go out when the belief is 0.3 s fresher than what subscribers were told. Watches that told a change wait 0.2 s before the next one, a watch waits 0.8 s, and hosts settle in 0.7 s instead of 2 s.

--- a/feed/cursor.go
+++ b/feed/cursor.go
@@ -12,6 +12,9 @@
 type CursorConfig struct {
 	// Wait is how long the platform holds a watch without a change.
 	Wait time.Duration
+	// Pace is the shortest time from one watch that told a change to the next
+	// one, so that many changes in a row cost few calls.
+	Pace time.Duration
 	// Relist is the time after which everything is listed again, so that a
 	// change that a watch has missed is found.
 	Relist time.Duration
@@ -47,6 +50,9 @@
 	listed   time.Time
 	failures int
 	paused   bool
+	// changed says that the last watch told a change, and watched when it began.
+	changed bool
+	watched time.Time
 }
 
 // NewCursor returns a cursor that begins with a list.
@@ -60,9 +66,14 @@
 		return Call{Step: Pause, Wait: c.pause(jitter)}
 	}
 	c.paused = false
+	if rest := c.config.Pace - now.Sub(c.watched); c.changed && rest > 0 {
+		c.changed = false
+		return Call{Step: Pause, Wait: rest}
+	}
 	if c.revision == 0 || now.Sub(c.listed) >= c.config.Relist {
 		return Call{Step: List}
 	}
+	c.watched, c.changed = now, false
 	return Call{Step: Watch, After: c.revision, Wait: c.config.Wait}
 }
 
@@ -79,10 +90,10 @@
 	c.revision, c.listed, c.failures = revision, now, 0
 }
 
-// Changed takes the answer to a watch. A revision that is lower than the known
-// one is an answer from the past and leaves the cursor where it is.
-func (c *Cursor) Changed(revision pimentospread.ObjectVersion) {
-	c.revision, c.failures = max(c.revision, revision), 0
+// Changed takes the answer to a watch, which may tell no change. A revision that
+// is lower than the known one is an answer from the past and leaves the cursor where it is.
+func (c *Cursor) Changed(revision pimentospread.ObjectVersion, changes int) {
+	c.revision, c.failures, c.changed = max(c.revision, revision), 0, changes > 0
 }
 
 // Expired says that the platform has lost the history after the cursor's revision.
--- a/feed/cursor_test.go
+++ b/feed/cursor_test.go
@@ -28,8 +28,14 @@
 		"a watch follows":    {{do: listed, want: watch}},
 		"a watch goes on from the last change": {
 			{do: listed, want: watch},
-			{do: func(c *feed.Cursor, _ time.Time) { c.Changed(9) }, want: feed.Call{Step: feed.Watch, After: 9, Wait: time.Second}},
-			{do: func(c *feed.Cursor, _ time.Time) { c.Changed(8) }, want: feed.Call{Step: feed.Watch, After: 9, Wait: time.Second}},
+			{do: func(c *feed.Cursor, _ time.Time) { c.Changed(9, 0) }, want: feed.Call{Step: feed.Watch, After: 9, Wait: time.Second}},
+			{do: func(c *feed.Cursor, _ time.Time) { c.Changed(8, 0) }, want: feed.Call{Step: feed.Watch, After: 9, Wait: time.Second}},
+		},
+		"changes in a row cost few calls": {
+			{do: listed, want: watch},
+			{at: 10 * time.Millisecond, do: func(c *feed.Cursor, _ time.Time) { c.Changed(9, 1) }, want: pause(190 * time.Millisecond)},
+			{at: 200 * time.Millisecond, do: nothing, want: feed.Call{Step: feed.Watch, After: 9, Wait: time.Second}},
+			{at: 900 * time.Millisecond, do: func(c *feed.Cursor, _ time.Time) { c.Changed(10, 1) }, want: feed.Call{Step: feed.Watch, After: 10, Wait: time.Second}},
 		},
 		"everything is listed again after a while": {
 			{do: listed, want: watch},
@@ -59,7 +65,7 @@
 	for name, steps := range tests {
 		t.Run(name, func(t *testing.T) {
 			c := feed.NewCursor(feed.CursorConfig{
-				Wait: time.Second, Relist: 15 * time.Second, FirstRetry: 50 * time.Millisecond, LastRetry: 500 * time.Millisecond,
+				Wait: time.Second, Relist: 15 * time.Second, FirstRetry: 50 * time.Millisecond, LastRetry: 500 * time.Millisecond, Pace: 200 * time.Millisecond,
 			})
 			for i, s := range steps {
 				s.do(c, start.Add(s.at))
--- a/front/belief.go
+++ b/front/belief.go
@@ -18,6 +18,9 @@
 const (
 	// listTimeout bounds a list. A slow platform answers in 0.24 s.
 	listTimeout = 1500 * time.Millisecond
+	// watchPace delays changes that follow each other. It is small against the
+	// bounds of 3 s for drains and configurations.
+	watchPace = 200 * time.Millisecond
 	// relistInterval bounds how long a change stays unknown that a watch has missed.
 	relistInterval = 15 * time.Second
 	// firstRetry and lastRetry bound the pause after a failed call. The last one
--- a/front/front.go
+++ b/front/front.go
@@ -251,7 +251,7 @@
 	w := &watcher{
 		kind: kind, feed: objects, clock: f.clock, events: f.belief.events, translate: translate,
 		cursor: feed.NewCursor(feed.CursorConfig{
-			Wait: wait, Relist: relistInterval, FirstRetry: firstRetry, LastRetry: lastRetry,
+			Wait: wait, Pace: watchPace, Relist: relistInterval, FirstRetry: firstRetry, LastRetry: lastRetry,
 		}),
 		active: ring.New[bool](1, ring.DropOldest), calls: f.metrics, log: f.log,
 	}
--- a/front/neighbors.go
+++ b/front/neighbors.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// settleTime is what hosts that start together take to find each other.
-	settleTime = 2 * time.Second
+	// settleTime is what hosts that start within 0.3 s of each other take to register and to be listed.
+	settleTime = 700 * time.Millisecond
 	// relayPatience and followerPatience are above the longest silence of a
 	// sound source, a watch and a news interval together, and leave time for
 	// the next source within the bounds of 3 s for drains and configurations.
@@ -23,8 +23,11 @@
 	followerPatience = 1800 * time.Millisecond
 	// avoidTime spares a source that went stale.
 	avoidTime = 10 * time.Second
-	// newsInterval is the time between two news without changes.
+	// newsInterval is the time between two news when nothing is heard, and
+	// newsStep the progress of the belief that is told at once. A delay at each
+	// host would add up along the path.
 	newsInterval = 500 * time.Millisecond
+	newsStep     = 300 * time.Millisecond
 	// subscribeInterval renews a subscription, and subscriptionLease is three
 	// of them with some room, so that one may be lost.
 	subscribeInterval = time.Second
@@ -67,7 +70,9 @@
 	position   feed.Position
 	subscribed time.Time
 	published  time.Time
-	started    time.Time
+	// told is the time up to which subscribers were told that they know all.
+	told    time.Time
+	started time.Time
 	// stopping says that the host no longer takes part.
 	stopping bool
 }
@@ -148,6 +153,7 @@
 	if from == n.selector.Choice().Peer && behind(position, m.Position) {
 		n.subscribe(ctx, now)
 	}
+	n.decide(ctx, now)
 }
 
 func behind(a, b feed.Position) bool {
@@ -206,10 +212,11 @@
 // publish sends news to subscribers after a change, and now and then without one.
 func (n *neighbors) publish(ctx context.Context, now time.Time, changed bool, s feed.State) {
 	n.position = feed.Position{Targets: s.Directory.Revision(), Configuration: s.Table.Version(), Peers: n.peers.Revision}
-	if n.stopping || !changed && now.Sub(n.published) < newsInterval {
+	fresher := s.Confirmed.Sub(n.told) >= newsStep
+	if n.stopping || !changed && !fresher && now.Sub(n.published) < newsInterval {
 		return
 	}
-	n.published = now
+	n.published, n.told = now, s.Confirmed
 	n.send(ctx, n.relay.Publish(now, s))
 	n.link(ctx)
 }
--- a/front/watcher.go
+++ b/front/watcher.go
@@ -101,7 +101,7 @@
 	if !w.answered(ctx, "watch", err) {
 		return
 	}
-	w.cursor.Changed(changes.Revision)
+	w.cursor.Changed(changes.Revision, len(changes.Changes))
 	w.report(ctx, false, call.After, changes.Revision, changes.Changes)
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -99,7 +99,7 @@
 	return Settings{
 		Encapsulation:  VXLAN,
 		ReadyAddress:   loopback,
-		PlatformWait:   pimentospread.Duration{Duration: time.Second},
+		PlatformWait:   pimentospread.Duration{Duration: 800 * time.Millisecond},
 		FlowLifetime:   pimentospread.Duration{Duration: time.Minute},
 		ReturnGrace:    pimentospread.Duration{Duration: 2500 * time.Millisecond},
 		RemoteCost:     0.3,
