Let hosts that start without the platform learn from seeds

A host that knows nothing 0.15 s after its start asks the seeds for news.

Ruled out: the reset of the platform itself; hosts that did not restart went on.

--- /dev/null
+++ b/feed/relay_test.go
@@ -0,0 +1,197 @@
+package feed_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"pgregory.net/rapid"
+
+	"pimentospread"
+	"pimentospread/directory"
+	"pimentospread/feed"
+	"pimentospread/peer"
+	"pimentospread/routing"
+)
+
+// book is what a host knows, and its relay.
+type book struct {
+	directory *directory.Directory
+	table     *routing.Table
+	relay     *feed.Relay
+	peers     feed.Peers
+}
+
+func newBook() *book {
+	return &book{
+		directory: directory.New(directory.Config{DepartedFor: time.Minute, ReturnGrace: time.Second}),
+		table:     routing.New(),
+		relay:     feed.NewRelay(feed.RelayConfig{Lease: 3 * time.Second}),
+	}
+}
+
+func (b *book) apply(now time.Time, u directory.Update) {
+	from := b.directory.Revision()
+	changes := b.directory.Apply(now, u)
+	if to := b.directory.Revision(); to > from {
+		b.relay.Updated(directory.Delta(from, to, changes))
+	}
+}
+
+func (b *book) configure(c pimentospread.Configuration) {
+	if b.table.Put(c) {
+		b.relay.Configured(c)
+	}
+}
+
+func (b *book) state(confirmed time.Time) feed.State {
+	return feed.State{Directory: b.directory, Table: b.table, Peers: b.peers, Confirmed: confirmed}
+}
+
+func (b *book) position() feed.Position {
+	return feed.Position{Targets: b.directory.Revision(), Configuration: b.table.Version(), Peers: b.peers.Revision}
+}
+
+// hear takes news as they arrive over the wire.
+func (b *book) hear(t *rapid.T, now time.Time, m pimentospread.Message) {
+	data, err := peer.Encode("a-1", 1, m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	in, _, err := peer.Registry(feed.Constructors()).Decode(data[4:])
+	if err != nil {
+		t.Fatal(err)
+	}
+	news := in.Message.(*feed.News)
+	b.directory.KeepMissing(now, news.Grace)
+	for _, u := range news.Updates {
+		b.apply(now, u)
+	}
+	if news.Routes != nil {
+		if c, ok := news.Routes.Apply(b.table.Configuration()); ok {
+			b.configure(c)
+		}
+	}
+}
+
+func registration(i, born int) pimentospread.Registration {
+	return pimentospread.Registration{
+		Name: pimentospread.RegistrationName(fmt.Sprintf("i-%d", i)), Instance: pimentospread.InstanceID(i), Born: pimentospread.UnixMilli(born),
+		Service: "desk", Address: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(i)), FailureDomain: "a", Slots: 2,
+	}
+}
+
+// Guards against subscribers that end with other targets or routes than the
+// host they hear from, whatever news were lost, and that ever go back.
+func TestSubscriberFollows(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		from, to := newBook(), newBook()
+		now := start
+		var revision pimentospread.ObjectVersion
+		var version pimentospread.ConfigurationVersion
+		address := netip.MustParseAddrPort("127.0.0.1:1")
+		ask := func() {
+			m := &feed.Subscribe{Address: address, Position: to.position()}
+			for _, out := range from.relay.Subscribe(now, "a-2", m, from.state(now)) {
+				to.hear(t, now, out.Message)
+			}
+		}
+		ask()
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 900).Draw(t, "ms")) * time.Millisecond)
+			before := to.position()
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			case 0:
+				revision += pimentospread.ObjectVersion(rapid.IntRange(1, 3).Draw(t, "revisions"))
+				u := directory.Update{From: from.directory.Revision(), Revision: revision, Full: rapid.Bool().Draw(t, "full") || from.directory.Revision() == 0}
+				for i := range 4 {
+					if rapid.Bool().Draw(t, "present") {
+						u.Present = append(u.Present, registration(i, rapid.IntRange(1, 2).Draw(t, "born")))
+					} else if rapid.Bool().Draw(t, "removed") {
+						u.Removed = append(u.Removed, registration(i, 1).Name)
+					}
+				}
+				from.apply(now, u)
+			case 1:
+				version += 3
+				c := pimentospread.Configuration{Version: version}
+				for i := range 4 {
+					if rapid.Bool().Draw(t, "route") {
+						c.Routes = append(c.Routes, pimentospread.Route{
+							Name: pimentospread.RouteName(fmt.Sprint(i)), Address: netip.AddrPortFrom(netip.MustParseAddr("198.18.0.1"), uint16(i)),
+							Services: []pimentospread.WeightedService{{Service: "desk", Weight: 1}},
+						})
+					}
+				}
+				from.configure(c)
+			case 2:
+				for _, out := range from.relay.Publish(now, from.state(now)) {
+					if rapid.Bool().Draw(t, "delivered") {
+						to.hear(t, now, out.Message)
+					}
+				}
+			case 3:
+				from.directory.Tick(now)
+				to.directory.Tick(now)
+			case 4:
+				ask()
+			}
+			if after := to.position(); after.Targets < before.Targets || after.Configuration < before.Configuration {
+				t.Fatalf("the subscriber went back from %+v to %+v", before, after)
+			}
+		}
+		ask()
+		options := cmp.Options{cmpopts.EquateComparable(netip.AddrPort{}), cmpopts.EquateEmpty(), cmpopts.SortSlices(func(a, b pimentospread.Route) bool { return a.Name < b.Name })}
+		if diff := cmp.Diff(from.directory.Snapshot(), to.directory.Snapshot(), options); diff != "" {
+			t.Fatalf("targets: %s", diff)
+		}
+		if diff := cmp.Diff(from.table.Configuration(), to.table.Configuration(), options); diff != "" {
+			t.Fatalf("configuration: %s", diff)
+		}
+	})
+}
+
+// Guards against a change that costs a subscriber the whole list.
+func TestChangesAreSentAlone(t *testing.T) {
+	b := newBook()
+	var all []pimentospread.Registration
+	for i := range 100 {
+		all = append(all, registration(i, 1))
+	}
+	b.apply(start, directory.Update{Full: true, Revision: 10, Present: all})
+	address := netip.MustParseAddrPort("127.0.0.1:1")
+	b.relay.Subscribe(start, "a-2", &feed.Subscribe{Address: address}, b.state(start))
+	b.apply(start, directory.Update{From: 10, Revision: 11, Present: []pimentospread.Registration{registration(3, 2)}})
+	b.apply(start, directory.Update{Full: true, Revision: 12, Present: append(all[:3:3], append([]pimentospread.Registration{registration(3, 2)}, all[4:]...)...)})
+	out := b.relay.Publish(start, b.state(start))
+	news := out[0].Message.(*feed.News)
+	if len(news.Updates) != 1 || news.Updates[0].Full || len(news.Updates[0].Present) != 1 || news.Updates[0].Revision != 12 {
+		t.Errorf("updates %+v, want the one change up to revision 12", news.Updates)
+	}
+	if again := b.relay.Publish(start, b.state(start))[0].Message.(*feed.News); len(again.Updates) != 0 {
+		t.Errorf("%d updates are sent twice", len(again.Updates))
+	}
+}
+
+// Guards against subscriptions that last for ever, or without a bound.
+func TestSubscriptionsEnd(t *testing.T) {
+	b := newBook()
+	m := &feed.Subscribe{Address: netip.MustParseAddrPort("127.0.0.1:1")}
+	for i := range 600 {
+		b.relay.Subscribe(start, pimentospread.HostID(fmt.Sprint(i)), m, b.state(start))
+	}
+	if n := len(b.relay.Subscribers()); n != 512 {
+		t.Errorf("%d subscribers, want 512 at most", n)
+	}
+	b.relay.Subscribe(start, "7", &feed.Subscribe{Leaves: true}, b.state(start))
+	if n := len(b.relay.Publish(start, b.state(start))); n != 511 {
+		t.Errorf("news for %d, want 511 after one left", n)
+	}
+	b.relay.Publish(start.Add(4*time.Second), b.state(start))
+	if n := len(b.relay.Subscribers()); n != 0 {
+		t.Errorf("%d subscribers after their lease", n)
+	}
+}
--- a/front/front.go
+++ b/front/front.go
@@ -227,8 +227,15 @@
 
 func (f *Front) newNeighbors() *neighbors {
 	now := f.clock.Now()
+	seeds := map[pimentospread.HostID]netip.AddrPort{}
+	for _, s := range f.settings.Seeds {
+		if s.PeerAddress != f.self().Address {
+			seeds[pimentospread.HostID("seed "+s.PeerAddress.String())] = s.PeerAddress
+		}
+	}
 	return &neighbors{
-		self: f.self(), log: f.log, network: f.network, missing: f.registrar.missing, remove: f.registrar.remove,
+		seeds: seeds,
+		self:  f.self(), log: f.log, network: f.network, missing: f.registrar.missing, remove: f.registrar.remove,
 		selector: feed.NewSelector(now, feed.SelectorConfig{
 			Self: f.settings.Host, Domain: f.settings.FailureDomain, Settle: settleTime,
 			RelayPatience: relayPatience, Patience: followerPatience, Avoid: avoidTime,
--- a/front/neighbors.go
+++ b/front/neighbors.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -21,6 +22,8 @@
 	// the next source within the bounds of 3 s for drains and configurations.
 	relayPatience    = 1400 * time.Millisecond
 	followerPatience = 1800 * time.Millisecond
+	// seedDelay is the time after the start in which a sound platform has answered.
+	seedDelay = 150 * time.Millisecond
 	// avoidTime spares a source that went stale.
 	avoidTime = 10 * time.Second
 	// newsInterval is the time between two news when nothing is heard, and
@@ -62,6 +65,8 @@
 	missing *ring.Ring[struct{}]
 	remove  *ring.Ring[pimentospread.HostID]
 
+	// seeds are the addresses of hosts whose names are not known.
+	seeds map[pimentospread.HostID]netip.AddrPort
 	peers feed.Peers
 	path  []pimentospread.HostID
 	// heard is when each host was last heard of.
@@ -165,12 +170,24 @@
 	n.decide(ctx, now)
 }
 
+// bootstrap asks the seeds for news while the host knows nothing and the
+// platform has not answered either.
+func (n *neighbors) bootstrap(ctx context.Context, now time.Time) {
+	if n.position.Targets > 0 && n.position.Configuration > 0 || now.Sub(n.started) < seedDelay {
+		return
+	}
+	for id := range n.seeds {
+		n.send(ctx, []pimentospread.Outbound{{To: id, Message: &feed.Subscribe{Address: n.self.Address, Position: n.position}}})
+	}
+}
+
 // tick renews subscriptions and changes the source when it is stale.
 func (n *neighbors) tick(ctx context.Context, now time.Time) {
 	n.decide(ctx, now)
 	if now.Sub(n.subscribed) >= subscribeInterval {
 		n.subscribe(ctx, now)
 	}
+	n.bootstrap(ctx, now)
 	n.forget(ctx, now)
 }
 
@@ -224,6 +241,9 @@
 // link keeps connections to the source and to the subscribers alone.
 func (n *neighbors) link(ctx context.Context) {
 	want := n.relay.Subscribers()
+	if n.position.Targets == 0 || n.position.Configuration == 0 {
+		maps.Copy(want, n.seeds)
+	}
 	if p, ok := n.peers.Find(n.selector.Choice().Peer); ok {
 		want[p.Host] = p.Address
 	}
--- a/settings/check.go
+++ b/settings/check.go
@@ -117,7 +117,9 @@
 	c.keyFiles("PeerKeys", s.PeerKeys, true)
 	c.keyFiles("AdminKeys", s.AdminKeys, false)
 	for i, seed := range s.Seeds {
-		c.required(fmt.Sprintf("Seeds[%d].Host", i), string(seed.Host))
+		if s.Encapsulation == VXLAN {
+			c.required(fmt.Sprintf("Seeds[%d].Host", i), string(seed.Host))
+		}
 		c.address(fmt.Sprintf("Seeds[%d].PeerAddress", i), seed.PeerAddress)
 	}
 	if s.TrustedNetwork {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -87,7 +87,7 @@
 
 // Seed is a peer that is known without the platform.
 type Seed struct {
-	// Host is the name of the peer.
+	// Host is the name of the peer. Needed with vxlan.
 	Host pimentospread.HostID `json:"Host"`
 	// PeerAddress is the peer's TCP address.
 	PeerAddress netip.AddrPort `json:"PeerAddress"`
