--- a/front/store_test.go
+++ b/front/store_test.go
@@ -100,7 +100,7 @@
 
 func (s *store) Changes(ctx context.Context, kind pimentospread.ObjectKind, after pimentospread.ObjectVersion, wait time.Duration) (pimentospread.Changes, error) {
 	end := time.After(wait)
-	for first := true; ; first = false {
+	for {
 		s.mutex.Lock()
 		if s.away {
 			s.mutex.Unlock()
