Keep a sound source while the platform is away

Cause: a follower could not tell a source that is lost from one that hears the platform no more.

Change: silence (1.2 s without news) and staleness are told apart. Followers of a sound source try the platform at random times over 0.2 s for each host of their failure domain; a subscription says how fresh the subscriber is, and a source takes a fresher subscriber as its own source. The first subscription is repeated until it is answered: the connection is not there for the first one.

--- a/feed/message.go
+++ b/feed/message.go
@@ -38,6 +38,9 @@
 type Subscribe struct {
 	Address  netip.AddrPort `msgpack:"Address"`
 	Position Position       `msgpack:"Position"`
+	// Age is how long ago the subscriber's belief was known to be complete. One
+	// that is fresher than its source offers itself as a source.
+	Age time.Duration `msgpack:"Age"`
 	// Leaves ends the subscription.
 	Leaves bool `msgpack:"Leaves"`
 }
--- a/feed/selector.go
+++ b/feed/selector.go
@@ -14,11 +14,16 @@
 	Domain pimentospread.FailureDomain
 	// Settle is the time after the start in which the platform is read, until the other hosts are known.
 	Settle time.Duration
+	// Silence is the time without any news after which a source counts as lost.
+	Silence time.Duration
 	// RelayPatience is the age of belief at which a host that others hear from
-	// turns to another source, and Patience that of the others. The first is
-	// shorter, so that one host of a failure domain asks the platform and not all.
+	// tries the platform itself, and Patience that of the others. The first is
+	// shorter, so that the others need not try in most cases.
 	RelayPatience, Patience time.Duration
-	// Avoid is how long a source that went stale is not asked again.
+	// TrySpread is the time for each host of a group over which its hosts spread
+	// their tries, so that the calls of a group do not grow with its hosts.
+	TrySpread time.Duration
+	// Avoid is how long a lost source is not asked again.
 	Avoid time.Duration
 }
 
@@ -32,31 +37,42 @@
 
 // Selector decides where a host hears changes from. The first host by rank of a
 // failure domain hears from the first of all, which reads the platform, and
-// the others of the domain hear from theirs; a source that goes stale is left
-// for the next one and in the end for the platform.
+// the others of the domain hear from theirs. A source that falls silent is left
+// for the next one and in the end for the platform. A source that is sound but
+// does not hear the platform itself is kept; its followers try the platform at
+// spread times, and one that succeeds becomes the source of its source.
 type Selector struct {
 	config  SelectorConfig
 	started time.Time
-	// order holds the preferred sources; the platform follows them.
+	// order holds the preferred sources. It is empty for the reader of the platform.
 	order []pimentospread.HostID
-	// others are asked when the platform does not answer either.
+	// others are asked when neither those nor the platform answer.
 	others []pimentospread.HostID
 	relay  bool
+	// group is the number of hosts that may try the platform at the same time.
+	group int
 	// avoided holds when a source may be asked again.
 	avoided map[pimentospread.HostID]time.Time
+	// offered is a host that has said that it knows more than this one.
+	offered pimentospread.HostID
 	choice  Choice
-	// confirmed is the time up to which the belief is known to be complete.
-	confirmed time.Time
-	// chosen is when the choice was made.
-	chosen time.Time
-	// heard says that the chosen peer has sent news that are fresh.
-	heard bool
+	// confirmed is the time up to which the belief is known to be complete, and
+	// direct that up to which the platform itself has shown it.
+	confirmed, direct time.Time
+	// chosen is when the peer was chosen, heard when it last sent news, and fresh
+	// when its news last showed that the belief is complete.
+	chosen, heard, fresh time.Time
+	// trying says that the platform is read for want of fresh news, and tryAt
+	// when it is to be read next.
+	trying bool
+	tryAt  time.Time
 }
 
 // NewSelector returns a selector that reads the platform.
 func NewSelector(now time.Time, c SelectorConfig) *Selector {
 	return &Selector{
-		config: c, started: now, confirmed: now, chosen: now, choice: Choice{Platform: true},
+		config: c, started: now, confirmed: now, direct: now, chosen: now,
+		choice: Choice{Platform: true}, trying: true,
 		avoided: map[pimentospread.HostID]time.Time{},
 	}
 }
@@ -64,37 +80,41 @@
 // SetPeers takes the hosts of the system.
 func (s *Selector) SetPeers(peers []Peer) {
 	candidates := make([]member.Candidate, 0, len(peers))
+	domain := map[pimentospread.HostID]pimentospread.FailureDomain{}
 	for _, p := range peers {
 		candidates = append(candidates, member.Candidate{ID: p.Host, FailureDomain: p.FailureDomain})
+		domain[p.Host] = p.FailureDomain
 	}
 	ranked := member.Rank(0, candidates, len(candidates))
-	domain := map[pimentospread.HostID]pimentospread.FailureDomain{}
-	for _, c := range candidates {
-		domain[c.ID] = c.FailureDomain
-	}
-	s.order, s.others, s.relay = nil, nil, false
-	place := 0
+	var own []pimentospread.HostID
 	for _, id := range ranked {
-		if domain[id] != s.config.Domain {
-			continue
+		if domain[id] == s.config.Domain {
+			own = append(own, id)
 		}
-		if id == s.config.Self {
-			s.relay = place == 0
-			break
-		}
-		place++
 	}
-	for _, id := range ranked {
-		switch own := domain[id] == s.config.Domain; {
-		case id == s.config.Self:
-		case !s.relay && own && len(s.order) < min(place, 2):
-			s.order = append(s.order, id)
-		case s.relay && len(s.order) == 0 && id == ranked[0]:
-			s.order = append(s.order, id)
-		default:
-			s.others = append(s.others, id)
-		}
+	place := slices.Index(own, s.config.Self)
+	s.relay, s.group = place == 0, len(own)
+	switch {
+	case place == 0 && ranked[0] != s.config.Self:
+		s.order, s.group = ranked[:1], countDomains(domain)
+	case place > 0:
+		s.order = own[:min(place, 2)]
+	case place < 0:
+		s.order = own[:min(len(own), 2)]
+	default:
+		s.order = nil
 	}
+	s.others = slices.DeleteFunc(slices.Clone(ranked), func(id pimentospread.HostID) bool {
+		return id == s.config.Self || slices.Contains(s.order, id)
+	})
+}
+
+func countDomains(domains map[pimentospread.HostID]pimentospread.FailureDomain) int {
+	set := map[pimentospread.FailureDomain]bool{}
+	for _, d := range domains {
+		set[d] = true
+	}
+	return len(set)
 }
 
 // Relay reports whether the other hosts of the failure domain prefer to hear from this one.
@@ -108,21 +128,51 @@
 
 // PlatformAnswered says that the host's own reading of the platform is complete up to a time.
 func (s *Selector) PlatformAnswered(confirmed time.Time) {
+	if confirmed.After(s.direct) {
+		s.direct = confirmed
+	}
 	if confirmed.After(s.confirmed) {
 		s.confirmed = confirmed
 	}
 }
 
+// PlatformFailed says that a call to the platform failed. A host that only tried
+// tries again later; the jitter from 0 to 1 keeps hosts from trying in step.
+func (s *Selector) PlatformFailed(now time.Time, jitter float64) {
+	if !s.trying || s.lost(now) {
+		return
+	}
+	s.trying = false
+	s.tryAt = now.Add(s.spread(0.5 + jitter))
+}
+
+func (s *Selector) spread(share float64) time.Duration {
+	return time.Duration(share * float64(max(s.group, 1)) * float64(s.config.TrySpread))
+}
+
 // Heard takes the age of the belief of a peer. News that came from this host
 // itself prove nothing.
 func (s *Selector) Heard(now time.Time, from pimentospread.HostID, age time.Duration, path []pimentospread.HostID) {
-	if from != s.choice.Peer || slices.Contains(path, s.config.Self) {
+	if from != s.choice.Peer {
+		return
+	}
+	s.heard = now
+	if slices.Contains(path, s.config.Self) {
 		return
 	}
 	if confirmed := now.Add(-age); confirmed.After(s.confirmed) {
 		s.confirmed = confirmed
 	}
-	s.heard = s.heard || age < s.patience()
+	if age < s.patience() {
+		s.fresh = now
+	}
+}
+
+// Offered says that a host that hears from this one has a belief of the given age.
+func (s *Selector) Offered(now time.Time, from pimentospread.HostID, age time.Duration) {
+	if s.stale(now) && age < s.patience() {
+		s.offered = from
+	}
 }
 
 // Left says that a peer is about to stop.
@@ -137,50 +187,84 @@
 	return s.config.Patience
 }
 
+func (s *Selector) stale(now time.Time) bool { return now.Sub(s.confirmed) >= s.patience() }
+
+// lost reports whether no preferred source can be asked.
+func (s *Selector) lost(now time.Time) bool { return s.first(now, s.order) == "" }
+
 // Decide returns where to hear from, and whether that changed.
-func (s *Selector) Decide(now time.Time) (Choice, bool) {
+func (s *Selector) Decide(now time.Time, jitter float64) (Choice, bool) {
 	if now.Sub(s.started) < s.config.Settle {
 		return s.choice, false
 	}
-	next := s.next(now)
+	if peer := s.choice.Peer; peer != "" && now.Sub(later(s.heard, s.chosen)) >= s.config.Silence {
+		s.avoided[peer] = now.Add(s.config.Avoid)
+	}
+	next := Choice{Peer: s.peer(now)}
+	next.Platform = s.platform(now, next.Peer, jitter)
 	if next == s.choice {
 		return next, false
 	}
 	if next.Peer != s.choice.Peer {
-		s.chosen, s.heard = now, false
+		s.chosen, s.fresh = now, time.Time{}
 	}
 	s.choice = next
 	return next, true
 }
 
-func (s *Selector) next(now time.Time) Choice {
-	stale := now.Sub(s.confirmed) >= s.patience()
+// peer returns the host to hear from.
+func (s *Selector) peer(now time.Time) pimentospread.HostID {
+	if best := s.first(now, s.order); best != "" && s.offered == "" {
+		return best
+	}
+	if now.Sub(s.direct) < s.patience() {
+		// The platform answers, so nobody else is needed.
+		s.offered = ""
+		return s.first(now, s.order)
+	}
+	if s.offered != "" && now.After(s.avoided[s.offered]) {
+		return s.offered
+	}
+	s.offered = ""
+	if best := s.first(now, s.order); best != "" {
+		return best
+	}
 	current := s.choice.Peer
-	if current != "" && stale && now.Sub(s.chosen) >= s.patience() {
+	if slices.Contains(s.others, current) && now.After(s.avoided[current]) && now.Sub(s.chosen) < s.patience() {
+		return current
+	}
+	if !s.stale(now) {
+		return ""
+	}
+	if current != "" {
 		s.avoided[current] = now.Add(s.config.Avoid)
 	}
-	best := s.first(now, s.order)
+	return s.first(now, s.others)
+}
+
+// platform reports whether the platform is to be read.
+func (s *Selector) platform(now time.Time, peer pimentospread.HostID, jitter float64) bool {
+	if s.lost(now) {
+		return true
+	}
+	hears := peer == s.choice.Peer && !s.fresh.IsZero() && now.Sub(s.fresh) < s.patience()
 	switch {
-	case best == "" && !stale:
-		return Choice{Platform: true}
-	case best == "":
-		// The platform does not answer; another host may still hear it.
-		return Choice{Platform: true, Peer: s.keepOr(now, s.others)}
-	case best == current && s.heard && !stale:
-		return Choice{Peer: best}
-	default:
-		// The platform is read until the peer's news are fresh.
-		return Choice{Platform: true, Peer: best}
+	case hears && !s.stale(now):
+		s.trying, s.tryAt = false, time.Time{}
+	case s.trying || !s.stale(now):
+	case s.tryAt.IsZero():
+		s.tryAt = now.Add(s.spread(jitter))
+	case !now.Before(s.tryAt):
+		s.trying = true
 	}
+	return s.trying
 }
 
-// keepOr returns the current peer while it is among the allowed ones, so that
-// the host does not change between sources that are all stale.
-func (s *Selector) keepOr(now time.Time, list []pimentospread.HostID) pimentospread.HostID {
-	if slices.Contains(list, s.choice.Peer) && now.After(s.avoided[s.choice.Peer]) {
-		return s.choice.Peer
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
-	return s.first(now, list)
+	return b
 }
 
 func (s *Selector) first(now time.Time, list []pimentospread.HostID) pimentospread.HostID {
--- a/front/belief.go
+++ b/front/belief.go
@@ -94,7 +94,7 @@
 func (b *belief) hear(ctx context.Context, e event) {
 	switch e := e.(type) {
 	case contact:
-		b.hearContact(e)
+		b.hearContact(ctx, e)
 	case configurationHeard:
 		b.hearConfiguration(e.configuration)
 	case targetsHeard:
@@ -108,27 +108,30 @@
 	}
 }
 
-func (b *belief) hearContact(e contact) {
+func (b *belief) hearContact(ctx context.Context, e contact) {
 	c, ok := b.contacts[e.kind]
 	if !ok {
 		c = &contactState{last: e.at}
 		b.contacts[e.kind] = c
 	}
 	switch {
-	case e.err != nil && !c.lost:
-		c.lost = true
-		b.log.Warn("platform lost", "kind", e.kind, "last_answer", e.at.Sub(c.last), "error", e.err)
-	case e.err == nil:
+	case e.err != nil:
+		if !c.lost {
+			c.lost = true
+			b.log.Warn("platform lost", "kind", e.kind, "last_answer", e.at.Sub(c.last), "error", e.err)
+		}
+		b.neighbors.platformFailed(ctx, b.clock.Now())
+	default:
 		if c.lost {
 			b.log.Info("platform back", "kind", e.kind, "away", e.at.Sub(c.last))
 		}
 		c.last, c.lost = e.at, false
-		b.confirm()
+		b.confirm(ctx)
 	}
 }
 
 // confirm tells the selector up to when the platform has told everything.
-func (b *belief) confirm() {
+func (b *belief) confirm(ctx context.Context) {
 	routes, targets := b.contacts[platform.KindConfiguration], b.contacts[platform.KindTargets]
 	if routes == nil || targets == nil || b.directory.Revision() == 0 || b.table.Version() == 0 {
 		return
@@ -137,7 +140,7 @@
 	if targets.last.Before(confirmed) {
 		confirmed = targets.last
 	}
-	b.neighbors.platformAnswered(confirmed)
+	b.neighbors.platformAnswered(ctx, b.clock.Now(), confirmed)
 }
 
 func (b *belief) hearConfiguration(c pimentospread.Configuration) {
--- a/front/front.go
+++ b/front/front.go
@@ -238,6 +238,7 @@
 		self:  f.self(), log: f.log, network: f.network, missing: f.registrar.missing, remove: f.registrar.remove,
 		selector: feed.NewSelector(now, feed.SelectorConfig{
 			Self: f.settings.Host, Domain: f.settings.FailureDomain, Settle: settleTime,
+			Silence: sourceSilence, TrySpread: trySpread,
 			RelayPatience: relayPatience, Patience: followerPatience, Avoid: avoidTime,
 		}),
 		relay:   feed.NewRelay(feed.RelayConfig{Lease: subscriptionLease}),
--- a/front/neighbors.go
+++ b/front/neighbors.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"maps"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"strings"
@@ -17,11 +18,15 @@
 const (
 	// settleTime is what hosts that start within 0.3 s of each other take to register and to be listed.
 	settleTime = 700 * time.Millisecond
-	// relayPatience and followerPatience are above the longest silence of a
-	// sound source, a watch and a news interval together, and leave time for
-	// the next source within the bounds of 3 s for drains and configurations.
+	// sourceSilence is more than two news intervals.
+	sourceSilence = 1200 * time.Millisecond
+	// relayPatience and followerPatience are above the longest age of a sound
+	// belief, a watch and its answer together, and leave time for a try of the
+	// platform within the bounds of 3 s for drains and configurations.
 	relayPatience    = 1400 * time.Millisecond
 	followerPatience = 1800 * time.Millisecond
+	// trySpread lets a failure domain try the platform about five times a second, whatever its size.
+	trySpread = 200 * time.Millisecond
 	// seedDelay is the time after the start in which a sound platform has answered.
 	seedDelay = 150 * time.Millisecond
 	// avoidTime spares a source that went stale.
@@ -74,6 +79,8 @@
 	linked     map[pimentospread.HostID]netip.AddrPort
 	position   feed.Position
 	subscribed time.Time
+	// answered says that the chosen peer has sent news.
+	answered bool
 	published  time.Time
 	// told is the time up to which subscribers were told that they know all.
 	told    time.Time
@@ -90,11 +97,22 @@
 	return "platform"
 }
 
-func (n *neighbors) platformAnswered(confirmed time.Time) {
+func (n *neighbors) platformAnswered(ctx context.Context, now, confirmed time.Time) {
+	stale := now.Sub(n.selector.Confirmed()) >= relayPatience
 	if confirmed.After(n.selector.Confirmed()) {
 		n.path = nil
 	}
 	n.selector.PlatformAnswered(confirmed)
+	if stale {
+		// The source did not hear the platform; it can hear this host.
+		n.subscribe(ctx, now)
+	}
+}
+
+// platformFailed says that a call to the platform failed.
+func (n *neighbors) platformFailed(ctx context.Context, now time.Time) {
+	n.selector.PlatformFailed(now, rand.Float64())
+	n.decide(ctx, now)
 }
 
 // hearHosts takes an update of the hosts from the platform.
@@ -139,12 +157,17 @@
 
 func (n *neighbors) hearSubscribe(ctx context.Context, now time.Time, from pimentospread.HostID, m *feed.Subscribe, s feed.State) {
 	n.heard[from] = now
+	if !m.Leaves {
+		n.selector.Offered(now, from, m.Age)
+	}
 	answers := n.relay.Subscribe(now, from, m, s)
+	n.decide(ctx, now)
 	n.link(ctx)
 	n.send(ctx, answers)
 }
 
 func (n *neighbors) hearNews(ctx context.Context, now time.Time, from pimentospread.HostID, m *feed.News, position feed.Position) {
+	n.answered = n.answered || from == n.selector.Choice().Peer
 	before := n.selector.Confirmed()
 	n.selector.Heard(now, from, m.Age, m.Path)
 	if n.selector.Confirmed().After(before) {
@@ -177,14 +200,15 @@
 		return
 	}
 	for id := range n.seeds {
-		n.send(ctx, []pimentospread.Outbound{{To: id, Message: &feed.Subscribe{Address: n.self.Address, Position: n.position}}})
+		n.send(ctx, []pimentospread.Outbound{{To: id, Message: n.subscription(now)}})
 	}
 }
 
 // tick renews subscriptions and changes the source when it is stale.
 func (n *neighbors) tick(ctx context.Context, now time.Time) {
 	n.decide(ctx, now)
-	if now.Sub(n.subscribed) >= subscribeInterval {
+	// The first subscription is lost while the connection is not yet there.
+	if !n.answered || now.Sub(n.subscribed) >= subscribeInterval {
 		n.subscribe(ctx, now)
 	}
 	n.bootstrap(ctx, now)
@@ -196,7 +220,7 @@
 		return
 	}
 	before := n.selector.Choice()
-	next, changed := n.selector.Decide(now)
+	next, changed := n.selector.Decide(now, rand.Float64())
 	if !changed {
 		return
 	}
@@ -213,6 +237,7 @@
 	if before.Peer != "" {
 		n.send(ctx, []pimentospread.Outbound{{To: before.Peer, Message: &feed.Subscribe{Address: n.self.Address, Leaves: true}}})
 	}
+	n.answered = false
 	n.link(ctx)
 	n.subscribe(ctx, now)
 }
@@ -223,7 +248,11 @@
 		return
 	}
 	n.subscribed = now
-	n.send(ctx, []pimentospread.Outbound{{To: peer, Message: &feed.Subscribe{Address: n.self.Address, Position: n.position}}})
+	n.send(ctx, []pimentospread.Outbound{{To: peer, Message: n.subscription(now)}})
+}
+
+func (n *neighbors) subscription(now time.Time) *feed.Subscribe {
+	return &feed.Subscribe{Address: n.self.Address, Position: n.position, Age: max(now.Sub(n.selector.Confirmed()), 0)}
 }
 
 // publish sends news to subscribers after a change, and now and then without one.
