Let a starting host make four calls to the platform

Change: the entry is created without reading it and stays over a restart; the list of hosts shows one that differs, and the first host of a failure domain removes those of hosts that do not come back. The hosts are listed after 0.5 s, and watches begin after 1.2 s, when most hosts have a source. A lost source is avoided for twice as long each time.

--- a/feed/cursor.go
+++ b/feed/cursor.go
@@ -12,6 +12,10 @@
 type CursorConfig struct {
 	// Wait is how long the platform holds a watch without a change.
 	Wait time.Duration
+	// Delay is the time from the start to the first list, and Rest that from the
+	// start to the first watch. A host that finds another source by then makes no
+	// call for them.
+	Delay, Rest time.Duration
 	// Pace is the shortest time from one watch that told a change to the next
 	// one, so that many changes in a row cost few calls.
 	Pace time.Duration
@@ -44,7 +48,8 @@
 
 // Cursor is the place in the changes of one kind of object up to which a host has read.
 type Cursor struct {
-	config CursorConfig
+	config  CursorConfig
+	started time.Time
 	// revision is zero before the first list and after the history is gone.
 	revision pimentospread.ObjectVersion
 	listed   time.Time
@@ -56,7 +61,7 @@
 }
 
 // NewCursor returns a cursor that begins with a list.
-func NewCursor(c CursorConfig) *Cursor { return &Cursor{config: c} }
+func NewCursor(now time.Time, c CursorConfig) *Cursor { return &Cursor{config: c, started: now} }
 
 // Next returns the next step. The jitter is a number from 0 to 1 that spreads the
 // pauses of hosts that failed together.
@@ -66,6 +71,9 @@
 		return Call{Step: Pause, Wait: c.pause(jitter)}
 	}
 	c.paused = false
+	if wait := c.config.Delay - now.Sub(c.started); wait > 0 {
+		return Call{Step: Pause, Wait: wait}
+	}
 	if rest := c.config.Pace - now.Sub(c.watched); c.changed && rest > 0 {
 		c.changed = false
 		return Call{Step: Pause, Wait: rest}
@@ -73,6 +81,9 @@
 	if c.revision == 0 || now.Sub(c.listed) >= c.config.Relist {
 		return Call{Step: List}
 	}
+	if wait := c.config.Rest - now.Sub(c.started); wait > 0 {
+		return Call{Step: Pause, Wait: wait}
+	}
 	c.watched, c.changed = now, false
 	return Call{Step: Watch, After: c.revision, Wait: c.config.Wait}
 }
--- a/feed/selector.go
+++ b/feed/selector.go
@@ -23,8 +23,9 @@
 	// TrySpread is the time for each host of a group over which its hosts spread
 	// their tries, so that the calls of a group do not grow with its hosts.
 	TrySpread time.Duration
-	// Avoid is how long a lost source is not asked again.
-	Avoid time.Duration
+	// Avoid is how long a lost source is not asked again. It doubles up to
+	// LongestAvoid while the source stays lost.
+	Avoid, LongestAvoid time.Duration
 }
 
 // Choice is where a host hears changes from. Both may be set while it changes over.
@@ -51,8 +52,9 @@
 	relay  bool
 	// group is the number of hosts that may try the platform at the same time.
 	group int
-	// avoided holds when a source may be asked again.
+	// avoided holds when a source may be asked again, and pauses how long it was avoided last.
 	avoided map[pimentospread.HostID]time.Time
+	pauses  map[pimentospread.HostID]time.Duration
 	// offered is a host that has said that it knows more than this one.
 	offered pimentospread.HostID
 	choice  Choice
@@ -74,6 +76,7 @@
 		config: c, started: now, confirmed: now, direct: now, chosen: now,
 		choice: Choice{Platform: true}, trying: true,
 		avoided: map[pimentospread.HostID]time.Time{},
+		pauses:  map[pimentospread.HostID]time.Duration{},
 	}
 }
 
@@ -157,6 +160,7 @@
 		return
 	}
 	s.heard = now
+	delete(s.pauses, from)
 	if slices.Contains(path, s.config.Self) {
 		return
 	}
@@ -180,6 +184,11 @@
 	s.avoided[from] = now.Add(s.config.Avoid)
 }
 
+func (s *Selector) avoid(now time.Time, peer pimentospread.HostID) {
+	pause := min(max(2*s.pauses[peer], s.config.Avoid), s.config.LongestAvoid)
+	s.pauses[peer], s.avoided[peer] = pause, now.Add(pause)
+}
+
 func (s *Selector) patience() time.Duration {
 	if s.relay {
 		return s.config.RelayPatience
@@ -198,7 +207,7 @@
 		return s.choice, false
 	}
 	if peer := s.choice.Peer; peer != "" && now.Sub(later(s.heard, s.chosen)) >= s.config.Silence {
-		s.avoided[peer] = now.Add(s.config.Avoid)
+		s.avoid(now, peer)
 	}
 	next := Choice{Peer: s.peer(now)}
 	next.Platform = s.platform(now, next.Peer, jitter)
@@ -237,7 +246,7 @@
 		return ""
 	}
 	if current != "" {
-		s.avoided[current] = now.Add(s.config.Avoid)
+		s.avoid(now, current)
 	}
 	return s.first(now, s.others)
 }
--- a/front/front.go
+++ b/front/front.go
@@ -197,9 +197,9 @@
 		contacts:  map[pimentospread.ObjectKind]*contactState{},
 		neighbors: f.newNeighbors(),
 	}
-	f.addWatcher(objects, platform.KindConfiguration, s.PlatformWait.Duration, translateConfiguration)
-	f.addWatcher(objects, platform.KindTargets, s.PlatformWait.Duration, translateTargets)
-	f.addWatcher(objects, pimentospread.KindHost, hostsWait, translateHosts)
+	f.addWatcher(objects, platform.KindConfiguration, translateConfiguration, feed.CursorConfig{Wait: s.PlatformWait.Duration})
+	f.addWatcher(objects, platform.KindTargets, translateTargets, feed.CursorConfig{Wait: s.PlatformWait.Duration})
+	f.addWatcher(objects, pimentospread.KindHost, translateHosts, feed.CursorConfig{Wait: hostsWait, Delay: hostsDelay})
 	f.health = newHealth(f)
 }
 
@@ -239,7 +239,7 @@
 		selector: feed.NewSelector(now, feed.SelectorConfig{
 			Self: f.settings.Host, Domain: f.settings.FailureDomain, Settle: settleTime,
 			Silence: sourceSilence, TrySpread: trySpread,
-			RelayPatience: relayPatience, Patience: followerPatience, Avoid: avoidTime,
+			RelayPatience: relayPatience, Patience: followerPatience, Avoid: avoidTime, LongestAvoid: longestAvoid,
 		}),
 		relay:   feed.NewRelay(feed.RelayConfig{Lease: subscriptionLease}),
 		heard:   map[pimentospread.HostID]time.Time{},
@@ -255,12 +255,12 @@
 	return i.events.Put(ctx, message{in})
 }
 
-func (f *Front) addWatcher(objects pimentospread.ObjectFeed, kind pimentospread.ObjectKind, wait time.Duration, translate translation) {
+func (f *Front) addWatcher(objects pimentospread.ObjectFeed, kind pimentospread.ObjectKind, translate translation, c feed.CursorConfig) {
+	c.Rest, c.Pace, c.Relist = watchRest, watchPace, relistInterval
+	c.FirstRetry, c.LastRetry = firstRetry, lastRetry
 	w := &watcher{
 		kind: kind, feed: objects, clock: f.clock, events: f.belief.events, translate: translate,
-		cursor: feed.NewCursor(feed.CursorConfig{
-			Wait: wait, Pace: watchPace, Relist: relistInterval, FirstRetry: firstRetry, LastRetry: lastRetry,
-		}),
+		cursor: feed.NewCursor(f.clock.Now(), c),
 		active: ring.New[bool](1, ring.DropOldest), calls: f.metrics, log: f.log,
 	}
 	f.watchers = append(f.watchers, w)
--- a/front/neighbors.go
+++ b/front/neighbors.go
@@ -18,6 +18,10 @@
 const (
 	// settleTime is what hosts that start within 0.3 s of each other take to register and to be listed.
 	settleTime = 700 * time.Millisecond
+	// hostsDelay is when the others of a common start have registered.
+	hostsDelay = 500 * time.Millisecond
+	// watchRest is when a host that settled hears from its source.
+	watchRest = settleTime + 500*time.Millisecond
 	// sourceSilence is more than two news intervals.
 	sourceSilence = 1200 * time.Millisecond
 	// relayPatience and followerPatience are above the longest age of a sound
@@ -29,8 +33,9 @@
 	trySpread = 200 * time.Millisecond
 	// seedDelay is the time after the start in which a sound platform has answered.
 	seedDelay = 150 * time.Millisecond
-	// avoidTime spares a source that went stale.
-	avoidTime = 10 * time.Second
+	// avoidTime spares a source that was lost. A restart takes seconds.
+	avoidTime    = 10 * time.Second
+	longestAvoid = 2 * time.Minute
 	// newsInterval is the time between two news when nothing is heard, and
 	// newsStep the progress of the belief that is told at once. A delay at each
 	// host would add up along the path.
@@ -80,8 +85,8 @@
 	position   feed.Position
 	subscribed time.Time
 	// answered says that the chosen peer has sent news.
-	answered bool
-	published  time.Time
+	answered  bool
+	published time.Time
 	// told is the time up to which subscribers were told that they know all.
 	told    time.Time
 	started time.Time
@@ -302,7 +307,6 @@
 	if peer := n.selector.Choice().Peer; peer != "" {
 		n.send(ctx, []pimentospread.Outbound{{To: peer, Message: &feed.Subscribe{Address: n.self.Address, Leaves: true}}})
 	}
-	_ = n.remove.Put(ctx, n.self.Host)
 }
 
 // forget removes the entries of hosts of the own failure domain that have long
--- /dev/null
+++ b/front/neighbors_test.go
@@ -0,0 +1,63 @@
+package front
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"testing"
+	"time"
+
+	"pimentospread"
+	"pimentospread/feed"
+	"pimentospread/ring"
+)
+
+// silentNetwork takes messages and delivers none.
+type silentNetwork struct{}
+
+func (silentNetwork) SetPeers(context.Context, map[pimentospread.HostID]netip.AddrPort) error {
+	return nil
+}
+
+func (silentNetwork) Send(context.Context, pimentospread.Outbound) error { return nil }
+
+// Guards against entries in the platform of hosts that are gone, and against
+// the removal of those of hosts that live.
+func TestEntriesOfLostHostsAreRemoved(t *testing.T) {
+	start := time.Unix(1_700_000_000, 0)
+	peers := []feed.Peer{
+		{Host: "h-1", FailureDomain: "near", Address: loopback(1)},
+		{Host: "h-2", FailureDomain: "near", Address: loopback(2)},
+		{Host: "h-3", FailureDomain: "near", Address: loopback(3)},
+		{Host: "h-4", FailureDomain: "far", Address: loopback(4)},
+	}
+	removals := 0
+	for _, self := range peers[:3] {
+		n := &neighbors{
+			self: self, log: slog.New(slog.DiscardHandler), network: silentNetwork{}, started: start,
+			missing: ring.New[struct{}](1, ring.DropOldest), remove: ring.New[pimentospread.HostID](8, ring.Refuse),
+			selector: feed.NewSelector(start, feed.SelectorConfig{Self: self.Host, Domain: "near"}),
+			relay:    feed.NewRelay(feed.RelayConfig{Lease: time.Second}),
+			heard:    map[pimentospread.HostID]time.Time{},
+		}
+		n.setPeers(t.Context(), start, feed.Peers{Revision: 1, Hosts: peers})
+		alive := peers[0].Host
+		if self.Host == alive {
+			alive = peers[1].Host
+		}
+		for d := time.Duration(0); d <= forgetAfter; d += 10 * time.Second {
+			n.heard[alive] = start.Add(d)
+			n.forget(t.Context(), start.Add(d))
+		}
+		removed := n.remove.Len()
+		removals += removed
+		for range removed {
+			if host := <-n.remove.Items(); host == alive || host == self.Host || host == "h-4" {
+				t.Errorf("%s removes the entry of %s", self.Host, host)
+			}
+		}
+	}
+	if removals != 1 {
+		t.Errorf("%d entries removed, want the one of the lost host by one host", removals)
+	}
+}
--- a/front/registrar.go
+++ b/front/registrar.go
@@ -16,7 +16,8 @@
 
 // hostEntry is what a host writes of itself into the platform, so that the
 // others find it. An entry holds nothing that changes with a restart, so that
-// a restart costs no write.
+// a restart changes nothing for the others. It stays when the host stops; the
+// first host of its failure domain removes it when it does not come back.
 type hostEntry struct {
 	FailureDomain pimentospread.FailureDomain `json:"FailureDomain"`
 	PeerAddress   netip.AddrPort              `json:"PeerAddress"`
@@ -35,24 +36,24 @@
 }
 
 func (r *registrar) run(ctx context.Context) error {
-	r.register(ctx)
+	r.register(ctx, false)
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-r.missing.Items():
-			r.register(ctx)
+			r.register(ctx, true)
 		case host := <-r.remove.Items():
 			r.unregister(ctx, host)
 		}
 	}
 }
 
-// register writes the entry until the platform has it.
-func (r *registrar) register(ctx context.Context) {
+// register creates the entry, or replaces one that differs.
+func (r *registrar) register(ctx context.Context, replace bool) {
 	pause := firstRetry
 	for ctx.Err() == nil {
-		err := r.write(ctx)
+		err := r.write(ctx, replace)
 		if err == nil {
 			return
 		}
@@ -67,29 +68,30 @@
 	}
 }
 
-// write changes the entry only where it differs. A conflict or an answer that
-// was lost shows in the next reading.
-func (r *registrar) write(ctx context.Context) error {
+// write makes one call when the entry is missing, and one when it is there, as
+// after a restart. The list of hosts shows whether the one that is there differs.
+func (r *registrar) write(ctx context.Context, replace bool) error {
 	key := pimentospread.ObjectKey{Kind: pimentospread.KindHost, Name: string(r.self.Host)}
-	want := hostEntry{FailureDomain: r.self.FailureDomain, PeerAddress: r.self.Address}
-	held, err := r.book.Get(ctx, key)
-	if err != nil && !errorx.IsOfType(err, pimentospread.ErrNotFound) {
-		return err
-	}
-	var found hostEntry
-	if err == nil && json.Unmarshal(held.Value, &found) == nil && found == want {
-		return nil
-	}
-	value, err := json.Marshal(want)
+	value, err := json.Marshal(hostEntry{FailureDomain: r.self.FailureDomain, PeerAddress: r.self.Address})
 	if err != nil {
 		return pimentospread.At(pimentospread.ErrInvalid.Wrap(err, "entry of the host"), "encode", "")
 	}
+	var held pimentospread.Object
+	if replace {
+		held, err = r.book.Get(ctx, key)
+		if err != nil && !errorx.IsOfType(err, pimentospread.ErrNotFound) {
+			return err
+		}
+	}
 	_, err = r.book.Put(ctx, key, value, held.Version)
+	if errorx.IsOfType(err, pimentospread.ErrConflict) && !replace {
+		return nil
+	}
 	return err
 }
 
-// unregister removes the entry of a host. When that fails the entry stays until
-// another host removes it.
+// unregister removes the entry of a host that is gone. When that fails the
+// entry stays until it is tried again.
 func (r *registrar) unregister(ctx context.Context, host pimentospread.HostID) {
 	key := pimentospread.ObjectKey{Kind: pimentospread.KindHost, Name: string(host)}
 	held, err := r.book.Get(ctx, key)
