Probe a lost first choice before changing the source

Cause: when the time of avoidance of a lost first choice ended, its followers left a sound source for it and went stale for 1.2 s each time, found while reading why TestFewHostsReadThePlatform did not settle.

Change: the first choice is asked for news while the present source is kept, and taken when it answers. The test counts entries as they are: the one of a host that stopped stays. TestLostFirstChoiceIsProbed fails without the change.

--- a/feed/selector.go
+++ b/feed/selector.go
@@ -55,6 +55,8 @@
 	// avoided holds when a source may be asked again, and pauses how long it was avoided last.
 	avoided map[pimentospread.HostID]time.Time
 	pauses  map[pimentospread.HostID]time.Duration
+	// alive holds when hosts other than the chosen one were last heard.
+	alive map[pimentospread.HostID]time.Time
 	// offered is a host that has said that it knows more than this one.
 	offered pimentospread.HostID
 	choice  Choice
@@ -77,6 +79,7 @@
 		choice: Choice{Platform: true}, trying: true,
 		avoided: map[pimentospread.HostID]time.Time{},
 		pauses:  map[pimentospread.HostID]time.Duration{},
+		alive:   map[pimentospread.HostID]time.Time{},
 	}
 }
 
@@ -156,11 +159,12 @@
 // Heard takes the age of the belief of a peer. News that came from this host
 // itself prove nothing.
 func (s *Selector) Heard(now time.Time, from pimentospread.HostID, age time.Duration, path []pimentospread.HostID) {
+	delete(s.pauses, from)
 	if from != s.choice.Peer {
+		s.alive[from] = now
 		return
 	}
 	s.heard = now
-	delete(s.pauses, from)
 	if slices.Contains(path, s.config.Self) {
 		return
 	}
@@ -172,6 +176,23 @@
 	}
 }
 
+// Probe returns a host that is preferred to the chosen one and has not shown that
+// it is back. It is to be asked for news; the chosen one is kept until they come.
+func (s *Selector) Probe(now time.Time) pimentospread.HostID {
+	best := s.first(now, s.order)
+	if s.choice.Peer == "" || best == s.choice.Peer || !s.keeps(now, best) {
+		return ""
+	}
+	return best
+}
+
+// keeps reports whether the chosen peer is better than one that may still be lost.
+func (s *Selector) keeps(now time.Time, best pimentospread.HostID) bool {
+	current := s.choice.Peer
+	return current != "" && current != best && !s.stale(now) && now.After(s.avoided[current]) &&
+		now.Sub(s.alive[best]) >= s.config.Silence
+}
+
 // Offered says that a host that hears from this one has a belief of the given age.
 func (s *Selector) Offered(now time.Time, from pimentospread.HostID, age time.Duration) {
 	if s.stale(now) && age < s.patience() {
@@ -224,6 +245,9 @@
 // peer returns the host to hear from.
 func (s *Selector) peer(now time.Time) pimentospread.HostID {
 	if best := s.first(now, s.order); best != "" && s.offered == "" {
+		if slices.Contains(s.order, s.choice.Peer) && s.keeps(now, best) {
+			return s.choice.Peer
+		}
 		return best
 	}
 	if now.Sub(s.direct) < s.patience() {
--- a/feed/selector_test.go
+++ b/feed/selector_test.go
@@ -129,6 +129,40 @@
 	}
 }
 
+// Guards against a host that leaves a sound source for its first choice, which
+// is still lost, and goes stale on it.
+func TestLostFirstChoiceIsProbed(t *testing.T) {
+	peers := hosts(4, "a")
+	var s *feed.Selector
+	var first, second pimentospread.HostID
+	for _, p := range peers {
+		s = newSelector(p, peers)
+		s.PlatformAnswered(start.Add(time.Second))
+		c, _ := s.Decide(start.Add(time.Second), 0)
+		first = c.Peer
+		s.Left(start.Add(time.Second), first)
+		c, _ = s.Decide(start.Add(time.Second), 0)
+		if second = c.Peer; second != "" {
+			break
+		}
+	}
+	for d := time.Second; d < 30*time.Second; d += 250 * time.Millisecond {
+		now := start.Add(d)
+		s.Heard(now, second, 0, nil)
+		if c, _ := s.Decide(now, 0); c.Peer != second {
+			t.Fatalf("after %s: %+v, want %s as long as %s is silent", d, c, second, first)
+		}
+		if probe := s.Probe(now); (probe == first) != (d > 11*time.Second) {
+			t.Fatalf("after %s: probe of %q", d, probe)
+		}
+	}
+	now := start.Add(30 * time.Second)
+	s.Heard(now, first, 0, nil)
+	if c, _ := s.Decide(now, 0); c.Peer != first {
+		t.Errorf("%+v, want %s, which is back", c, first)
+	}
+}
+
 // follower returns the last host by rank of three, with a belief of one second after the start from its source.
 func follower(t *testing.T) (*feed.Selector, pimentospread.HostID) {
 	t.Helper()
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -271,10 +271,12 @@
 	for i := range 6 {
 		fronts = append(fronts, startFront(t, fmt.Sprintf("h-%d", i+1), s))
 	}
+	// The entry of a host that stops stays for a while.
+	entries := len(fronts)
 	reading := func() int {
 		n := 0
 		for _, r := range fronts {
-			if v := r.front.belief.summary.Load(); v == nil || v.source.Platform || v.hosts != len(fronts) {
+			if v := r.front.belief.summary.Load(); v == nil || v.source.Platform || v.hosts != entries {
 				n++
 			}
 		}
--- a/front/neighbors.go
+++ b/front/neighbors.go
@@ -167,7 +167,7 @@
 	}
 	answers := n.relay.Subscribe(now, from, m, s)
 	n.decide(ctx, now)
-	n.link(ctx)
+	n.link(ctx, now)
 	n.send(ctx, answers)
 }
 
@@ -216,6 +216,10 @@
 	if !n.answered || now.Sub(n.subscribed) >= subscribeInterval {
 		n.subscribe(ctx, now)
 	}
+	if n.selector.Probe(now) != "" {
+		n.link(ctx, now)
+		n.send(ctx, []pimentospread.Outbound{{To: n.selector.Probe(now), Message: n.subscription(now)}})
+	}
 	n.bootstrap(ctx, now)
 	n.forget(ctx, now)
 }
@@ -243,7 +247,7 @@
 		n.send(ctx, []pimentospread.Outbound{{To: before.Peer, Message: &feed.Subscribe{Address: n.self.Address, Leaves: true}}})
 	}
 	n.answered = false
-	n.link(ctx)
+	n.link(ctx, now)
 	n.subscribe(ctx, now)
 }
 
@@ -269,17 +273,19 @@
 	}
 	n.published, n.told = now, s.Confirmed
 	n.send(ctx, n.relay.Publish(now, s))
-	n.link(ctx)
+	n.link(ctx, now)
 }
 
 // link keeps connections to the source and to the subscribers alone.
-func (n *neighbors) link(ctx context.Context) {
+func (n *neighbors) link(ctx context.Context, now time.Time) {
 	want := n.relay.Subscribers()
 	if n.position.Targets == 0 || n.position.Configuration == 0 {
 		maps.Copy(want, n.seeds)
 	}
-	if p, ok := n.peers.Find(n.selector.Choice().Peer); ok {
-		want[p.Host] = p.Address
+	for _, id := range []pimentospread.HostID{n.selector.Choice().Peer, n.selector.Probe(now)} {
+		if p, ok := n.peers.Find(id); ok {
+			want[p.Host] = p.Address
+		}
 	}
 	if equalLinks(want, n.linked) {
 		return
