Explain a failed request from the logs of all hosts

Cause: the logs named flows, and on-call engineers have the id of a request; its lines had to be gathered by hand from every host.

Change: lines on data packets name the request that begins in them; data that is sent again is an unusual decision and always logged; `pimentospread explain ID` prints the lines of a request's flows from the logs of all hosts in order, with the changes of belief around them.

Decisions are as before.

--- a/command/root.go
+++ b/command/root.go
@@ -66,7 +66,7 @@
 		Description: "Exit codes: 0 done, 1 failed, 2 wrong use, 3 refused by a check, 4 lost a race.",
 		Commands: []*cli.Command{
 			c.serve(), c.apply(), c.check(), c.get(), c.watch(), c.rollback(), c.drain(),
-			c.status(), c.burn(), c.keys(), c.settings(), c.version(),
+			c.status(), c.burn(), c.keys(), c.settings(), c.explain(), c.version(),
 		},
 	}
 	root.OnUsageError = usageError
--- a/front/steering.go
+++ b/front/steering.go
@@ -100,24 +100,29 @@
 	}
 }
 
-// note logs the decisions that explain what became of a flow: the first and
-// the last of each flow of the sample, and every unusual one.
+// note logs the decisions that explain what became of a flow: the opening, the
+// requests and the end of each flow of the sample, and every unusual one. The
+// sample is the same on every host, so all lines of a flow are kept or none.
 func (s *steering) note(now time.Time, p steer.Packet, a steer.Action) {
 	usual := a.Kind == steer.Forward && (a.Cause == steer.CauseToken || a.Cause == steer.CauseRank) && p.Copy == 0
-	sampled := (p.Opens || p.Ends || p.Resets) && p.Key.ID()%s.logShare == 0
+	sampled := (p.Opens || p.Ends || p.Resets || p.Length > 0) && p.Key.ID()%s.logShare == 0
 	if usual && !sampled {
 		return
 	}
-	v := s.steerer.View()
 	attributes := []slog.Attr{
 		slog.String("flow", FlowName(p.Key)), slog.String("packet", packetName(p)),
 		slog.String("action", a.Kind.String()), slog.String("cause", string(a.Cause)),
 		slog.Uint64("token", uint64(p.Token)),
 	}
+	if p.Length > 0 {
+		if id := s.buffer.RequestID(); id != "" {
+			attributes = append(attributes, slog.String("request", id))
+		}
+	}
 	if a.Kind == steer.Forward {
 		attributes = append(attributes, slog.String("target", string(a.Name)), slog.String("address", a.Address.String()))
 	}
-	if v != nil {
+	if v := s.steerer.View(); v != nil {
 		attributes = append(attributes,
 			slog.Uint64("configuration", uint64(v.Version)), slog.Uint64("revision", uint64(v.Revision)),
 			slog.Duration("age", v.Age(now)), slog.Int("targets", v.Targets()))
--- a/steer/packet.go
+++ b/steer/packet.go
@@ -56,6 +56,7 @@
 // Causes of actions.
 const (
 	CauseToken        Cause = "token"
+	CauseRepeated     Cause = "repeated"
 	CauseDeparted     Cause = "departed_target"
 	CauseRank         Cause = "rank"
 	CauseCopy         Cause = "copy"
--- a/steer/steerer.go
+++ b/steer/steerer.go
@@ -170,8 +170,12 @@
 	if signal.Repeated {
 		s.repeated(now, t, signal.Sent)
 	}
-	if t.Departed {
+	switch {
+	case t.Departed:
 		return forward(t, CauseDeparted)
+	case signal.Repeated:
+		return forward(t, CauseRepeated)
+	default:
+		return forward(t, CauseToken)
 	}
-	return forward(t, CauseToken)
 }
