Take packets that overtake each other for no evidence

Change: data count as repeated after 0.15 s at the earliest; seeds are linked at the start and asked each 50 ms until the host is ready. `explain` shows only hosts that carried the flow. TestPackets has the case and fails without the change.

--- a/explain/story.go
+++ b/explain/story.go
@@ -18,11 +18,13 @@
 const (
 	// maxLine is above the longest line, a settings line with all faults.
 	maxLine = 1 << 20
-	// before is how far back a change of belief may explain a decision: it is
-	// above the longest age of a sound belief and the time of a restart.
-	before = 10 * time.Second
-	// after is above the longest deadline of a request.
-	after = 10 * time.Second
+	// before is how far back a change of belief may explain a decision: above
+	// the longest age of a sound belief.
+	before = 3 * time.Second
+	// after shows what the hosts learned just after the flow's last line.
+	after = 2 * time.Second
+	// maxValue bounds the text of a field; the log has the whole.
+	maxValue = 60
 )
 
 // Line is one line of a host's log.
@@ -45,7 +47,8 @@
 	Lines []Line
 }
 
-// Read finds the story of a flow or request in the logs of any number of hosts.
+// Read finds the story of a flow or request in the logs of any number of hosts:
+// its own lines, and what the hosts that carried it learned at that time.
 // What stands before the JSON object on a line, and lines without one, are passed over.
 func Read(logs io.Reader, id string) (Story, error) {
 	lines, err := readLines(logs)
@@ -53,33 +56,17 @@
 		return Story{}, err
 	}
 	var s Story
-	targets := map[string]bool{}
-	var first, last time.Time
 	for _, l := range lines {
 		if l.Request == id || l.Flow == id {
 			s.Flows = appendNew(s.Flows, l.Flow)
 		}
 	}
-	for _, l := range lines {
-		if l.Flow == "" || !slices.Contains(s.Flows, l.Flow) {
-			continue
-		}
-		targets[l.Target] = true
-		if first.IsZero() || l.Time.Before(first) {
-			first = l.Time
-		}
-		if l.Time.After(last) {
-			last = l.Time
-		}
-	}
 	if len(s.Flows) == 0 {
 		return s, pimentospread.At(pimentospread.ErrNotFound.New("no line names %q", id), "explain", "")
 	}
+	scene := newScene(lines, s.Flows)
 	for _, l := range lines {
-		own := l.Flow != "" && slices.Contains(s.Flows, l.Flow)
-		context := l.Flow == "" && !l.Time.Before(first.Add(-before)) && !l.Time.After(last.Add(after)) &&
-			(l.Target == "" || targets[l.Target])
-		if own || context {
+		if scene.has(l) {
 			s.Lines = append(s.Lines, l)
 		}
 	}
@@ -87,6 +74,39 @@
 	return s, nil
 }
 
+// scene is where and when flows were carried.
+type scene struct {
+	flows          []string
+	targets, hosts map[string]bool
+	first, last    time.Time
+}
+
+func newScene(lines []Line, flows []string) scene {
+	c := scene{flows: flows, targets: map[string]bool{}, hosts: map[string]bool{}}
+	for _, l := range lines {
+		if l.Flow == "" || !slices.Contains(flows, l.Flow) {
+			continue
+		}
+		c.targets[l.Target], c.hosts[l.Host] = true, true
+		if c.first.IsZero() || l.Time.Before(c.first) {
+			c.first = l.Time
+		}
+		if l.Time.After(c.last) {
+			c.last = l.Time
+		}
+	}
+	return c
+}
+
+// has reports whether the line belongs to the flows, or tells what their hosts learned then.
+func (c scene) has(l Line) bool {
+	if l.Flow != "" {
+		return slices.Contains(c.flows, l.Flow)
+	}
+	return c.hosts[l.Host] && !l.Time.Before(c.first.Add(-before)) && !l.Time.After(c.last.Add(after)) &&
+		(l.Target == "" || c.targets[l.Target])
+}
+
 func appendNew(list []string, item string) []string {
 	if item == "" || slices.Contains(list, item) {
 		return list
@@ -135,10 +155,11 @@
 		}
 		switch name {
 		case "time", "level", "msg", "host", "flow", "request", "failure_domain":
-		case "age", "away", "silent", "last_answer":
+		case "age", "quiet", "took", "away", "silent", "last_answer":
 			fmt.Fprintf(&b, " %s=%s", name, duration(value))
 		default:
-			fmt.Fprintf(&b, " %s=%s", name, strings.Trim(string(value), `"`))
+			text := strings.Trim(string(value), `"`)
+			fmt.Fprintf(&b, " %s=%s", name, text[:min(len(text), maxValue)])
 		}
 	}
 	return b.String()
--- a/front/belief.go
+++ b/front/belief.go
@@ -31,8 +31,10 @@
 	// lapsed though their targets live. Entries lapse after three heartbeats,
 	// 2.3 s, and a watch ends after a second.
 	absentAfter = 2 * time.Second
-	// tickInterval is how often ages are checked.
-	tickInterval = 250 * time.Millisecond
+	// tickInterval is how often ages are checked, and startInterval the same
+	// while the host knows too little to take packets.
+	tickInterval  = 250 * time.Millisecond
+	startInterval = 50 * time.Millisecond
 )
 
 // belief is the duty that owns what the host believes of routes, targets and
@@ -74,9 +76,15 @@
 }
 
 func (b *belief) run(ctx context.Context) error {
-	tick := time.NewTicker(tickInterval)
+	// Connections to the seeds are there when the platform turns out to be away.
+	b.neighbors.link(ctx, b.clock.Now())
+	tick := time.NewTicker(startInterval)
 	defer tick.Stop()
-	for {
+	for starting := true; ; {
+		if starting && b.ready.Load() {
+			starting = false
+			tick.Reset(tickInterval)
+		}
 		select {
 		case <-ctx.Done():
 			return nil
--- a/front/front.go
+++ b/front/front.go
@@ -46,6 +46,8 @@
 	loadAveraging = 2 * time.Second
 	// longestCount is a few times the work of a request, which takes tens of milliseconds.
 	longestCount = 300 * time.Millisecond
+	// retransmission is below the 0.2 s after which callers send again.
+	retransmission = 150 * time.Millisecond
 	// firstTrial and lastTrial bound the time until a target in doubt is tried
 	// again. Entries of targets that are gone lapse after about 2.5 s.
 	firstTrial = time.Second
@@ -207,7 +209,8 @@
 	return steer.New(
 		weights(s),
 		inflight.New(inflight.Config{
-			MaxFlows: maxTracked, Averaging: loadAveraging, LongestCount: longestCount, FlowLifetime: s.FlowLifetime.Duration,
+			MaxFlows: maxTracked, Averaging: loadAveraging, LongestCount: longestCount,
+			Retransmission: retransmission, FlowLifetime: s.FlowLifetime.Duration,
 		}),
 		doubt.New(doubt.Config{FirstTrial: firstTrial, LastTrial: lastTrial}),
 	)
--- a/front/neighbors.go
+++ b/front/neighbors.go
@@ -212,7 +212,7 @@
 // tick renews subscriptions and changes the source when it is stale.
 func (n *neighbors) tick(ctx context.Context, now time.Time) {
 	n.decide(ctx, now)
-	// The first subscription is lost while the connection is not yet there.
+	// The first subscription may be lost while the connection is not yet there.
 	if !n.answered || now.Sub(n.subscribed) >= subscribeInterval {
 		n.subscribe(ctx, now)
 	}
--- a/inflight/tracker.go
+++ b/inflight/tracker.go
@@ -18,6 +18,9 @@
 	// LongestCount is how long a request counts as running when no answer is
 	// seen: a caller does not acknowledge an answer of one packet at once.
 	LongestCount time.Duration
+	// Retransmission is the shortest time after which a sender sends data again.
+	// Data that come sooner have overtaken each other.
+	Retransmission time.Duration
 	// FlowLifetime is the silence after which a flow is forgotten.
 	FlowLifetime time.Duration
 }
@@ -197,7 +200,7 @@
 		f.sent = end
 		f.last = now
 		t.start(now, f, p.Ack)
-	case !signal.Answered:
+	case !signal.Answered && now.Sub(f.last) >= t.config.Retransmission:
 		signal.Repeated, signal.Sent = true, f.last
 		f.last = now
 	}
--- a/inflight/tracker_test.go
+++ b/inflight/tracker_test.go
@@ -19,7 +19,7 @@
 
 func newTracker() *inflight.Tracker {
 	return inflight.New(inflight.Config{
-		MaxFlows: 4, Averaging: 2 * time.Second, LongestCount: 300 * time.Millisecond, FlowLifetime: time.Minute,
+		MaxFlows: 4, Averaging: 2 * time.Second, LongestCount: 300 * time.Millisecond, Retransmission: 150 * time.Millisecond, FlowLifetime: time.Minute,
 	})
 }
 
@@ -52,6 +52,11 @@
 			{at: 201 * ms, sent: inflight.Sent{Sequence: 1, Ack: 100, Length: 200}, signal: inflight.Signal{Repeated: true, Sent: start.Add(ms)}, running: 1},
 			{at: 601 * ms, sent: inflight.Sent{Sequence: 1, Ack: 100, Length: 200}, signal: inflight.Signal{Repeated: true, Sent: start.Add(201 * ms)}},
 		},
+		"packets of one request that overtake each other": {
+			{sent: inflight.Sent{Sequence: 1, Ack: 100}},
+			{at: 1 * ms, sent: inflight.Sent{Sequence: 1201, Ack: 100, Length: 300}, running: 1},
+			{at: 2 * ms, sent: inflight.Sent{Sequence: 1, Ack: 100, Length: 1200}, running: 1},
+		},
 		"an answer that is not acknowledged at once": {
 			{sent: inflight.Sent{Sequence: 1, Ack: 100}},
 			{at: 1 * ms, sent: inflight.Sent{Sequence: 1, Ack: 100, Length: 200}, running: 1},
--- a/steer/steerer_test.go
+++ b/steer/steerer_test.go
@@ -43,7 +43,7 @@
 		directory: directory.New(directory.Config{DepartedFor: time.Minute, ReturnGrace: 2 * time.Second}),
 		steerer: steer.New(
 			steer.Weights{Remote: 0.3, Cold: 0.5},
-			inflight.New(inflight.Config{MaxFlows: 1000, Averaging: 2 * time.Second, LongestCount: 300 * time.Millisecond, FlowLifetime: time.Minute}),
+			inflight.New(inflight.Config{MaxFlows: 1000, Averaging: 2 * time.Second, LongestCount: 300 * time.Millisecond, Retransmission: 150 * time.Millisecond, FlowLifetime: time.Minute}),
 			doubt.New(doubt.Config{FirstTrial: time.Second, LastTrial: 4 * time.Second}),
 		),
 	}
