--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 LINT := bin/golangci-lint
 
-.PHONY: build test lint bench capacity demo demo-office faults
+.PHONY: build test lint bench capacity demo demo-office demo-platform faults soak
 
 build:
 	go build -o bin/ ./cmd/...
@@ -36,6 +36,17 @@
 demo-office:
 	scripts/demo-office.sh
 
+# Hosts as processes before stand-ins of the users' platform, targets and callers,
+# with a fixed series of faults; prints the outcome and fails if a promise broke.
+demo-platform: build
+	bin/standin soak --seed 1 --length 20s --dir $${TMPDIR:-/tmp}/pimentospread-demo
+
+# SEED=0 takes fresh seeds. Each run takes about half a minute.
+SEED ?= 0
+SEEDS ?= 10
+soak: build
+	bin/standin soak --seed $(SEED) --seeds $(SEEDS) --length 20s --dir $${TMPDIR:-/tmp}/pimentospread-soak
+
 # Takes some minutes of real time, so it is not part of test.
 faults:
 	scripts/faults.sh
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -19,6 +19,7 @@
 	"pimentospread/standin/loopback"
 	"pimentospread/standin/platform"
 	"pimentospread/standin/relay"
+	"pimentospread/standin/soak"
 	"pimentospread/standin/target"
 )
 
@@ -42,6 +43,7 @@
 			relay.Command(),
 			loopback.CallCommand(),
 			loopback.ShowCommand(),
+			soak.Command(),
 		},
 	}
 	if err := root.Run(ctx, os.Args); err != nil {
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -20,6 +20,10 @@
 	ReturnGrace time.Duration
 }
 
+// warmSlack is the difference between two reports of the end of a warm-up that
+// means nothing: a heartbeat and the way to the platform and back.
+const warmSlack = time.Second
+
 // Directory is the set of registrations at one revision of the platform. It
 // never goes back to an earlier revision.
 type Directory struct {
@@ -150,8 +154,7 @@
 
 func (d *Directory) put(changes []Change, now time.Time, r pimentospread.Registration) []Change {
 	old, known := d.entries[r.Name]
-	if known && old.registration == r && !old.missing {
-		// A list repeats what is known; its warm-up counts from the report, not from the list.
+	if known && !old.missing && old.same(now, r) {
 		return changes
 	}
 	d.entries[r.Name] = entry{registration: r, warmUntil: now.Add(r.Warmup)}
@@ -172,6 +175,17 @@
 	return append(changes, Change{r, Changed})
 }
 
+// same reports whether the registration says nothing new. A target reports its
+// remaining warm-up again and again, and a list repeats it later.
+func (e entry) same(now time.Time, r pimentospread.Registration) bool {
+	if off := now.Add(r.Warmup).Sub(e.warmUntil); r.Warmup > 0 && off.Abs() > warmSlack {
+		return false
+	}
+	held := e.registration
+	held.Warmup, r.Warmup = 0, 0
+	return held == r
+}
+
 func (d *Directory) remove(changes []Change, now time.Time, name pimentospread.RegistrationName) []Change {
 	e, known := d.entries[name]
 	if !known || e.missing {
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -24,6 +24,12 @@
 	return r
 }
 
+func warming(name string, left time.Duration) pimentospread.Registration {
+	r := registration(name)
+	r.Warmup = left
+	return r
+}
+
 func reborn(name string) pimentospread.Registration {
 	r := registration(name)
 	r.Born = 6
@@ -63,6 +69,13 @@
 			{update: full(1, registration("a")), changes: []string{"a added"}},
 			{update: full(1, registration("a"))},
 		},
+		"reports of a warm-up that goes on": {
+			{update: full(1, warming("a", 3*time.Second)), changes: []string{"a added"}},
+			{at: time.Second, update: delta(1, 2, "", warming("a", 2*time.Second))},
+			{at: 2 * time.Second, update: delta(2, 3, "", warming("a", 1*time.Second))},
+			{at: 3 * time.Second, update: delta(3, 4, "", registration("a"))},
+			{at: 4 * time.Second, update: delta(4, 5, "", warming("a", 3*time.Second)), changes: []string{"a changed"}},
+		},
 		"an older list": {
 			{update: full(5, registration("a")), changes: []string{"a added"}},
 			{update: full(4)},
--- /dev/null
+++ b/standin/soak/caller.go
@@ -0,0 +1,206 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"time"
+)
+
+const (
+	// dataPort is the port of hosts and callers; each has an address of its own.
+	dataPort = 18172
+	// attempt is how long a caller tries to open a flow, with copies after 0.2 and 0.6 s.
+	attempt = 1400 * time.Millisecond
+	// answerTime is how long a caller waits for an answer, sending again meanwhile.
+	answerTime = 8 * time.Second
+)
+
+// callers share one socket, on which packets are told apart by their port.
+type callers struct {
+	conn  *net.UDPConn
+	judge *judge
+	// hosts returns the addresses in rotation.
+	hosts func() []netip.AddrPort
+	// register and unregister hand the packets of a port to a flow.
+	register   chan registration
+	unregister chan uint16
+}
+
+type registration struct {
+	port  uint16
+	inbox chan packet
+}
+
+func newCallers(address netip.Addr, j *judge, hosts func() []netip.AddrPort) (*callers, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(address, dataPort)))
+	if err != nil {
+		return nil, fmt.Errorf("listen for callers: %w", err)
+	}
+	return &callers{conn: conn, judge: j, hosts: hosts, register: make(chan registration), unregister: make(chan uint16)}, nil
+}
+
+// run hands packets to the flows of their ports.
+func (c *callers) run(ctx context.Context) error {
+	packets := make(chan packet, 1024)
+	stop := context.AfterFunc(ctx, func() { _ = c.conn.Close() })
+	defer stop()
+	go c.read(packets)
+	flows := map[uint16]chan packet{}
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case r := <-c.register:
+			flows[r.port] = r.inbox
+		case port := <-c.unregister:
+			delete(flows, port)
+		case p := <-packets:
+			select {
+			case flows[p.destination.Port()] <- p:
+			default: // the flow is gone, or has enough to read
+			}
+		}
+	}
+}
+
+func (c *callers) read(packets chan<- packet) {
+	buffer := make([]byte, 2048)
+	for {
+		n, err := c.conn.Read(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if p, ok := decode(buffer[:n]); err == nil && ok {
+			packets <- p
+		}
+	}
+}
+
+// send hands the packet to a host as the fabric does: by a hash over the hosts in rotation.
+func (c *callers) send(p packet) {
+	hosts := c.hosts()
+	if len(hosts) == 0 {
+		return
+	}
+	h := fnv.New32a()
+	_, _ = fmt.Fprint(h, p.source, p.destination)
+	p.sum = sum
+	// A host that is not there gives an error later; the packet is lost.
+	_, _ = c.conn.WriteToUDPAddrPort(p.encode(nil), hosts[int(h.Sum32())%len(hosts)])
+}
+
+// flow is one flow of a caller.
+type flow struct {
+	callers  *callers
+	key      netip.AddrPort
+	service  netip.AddrPort
+	inbox    chan packet
+	echo     uint32
+	seq, ack uint32
+}
+
+// errReset is a flow that was reset.
+var errReset = errors.New("reset")
+
+// converse opens a flow, sends requests with pauses and ends the flow.
+func (c *callers) converse(ctx context.Context, port uint16, service netip.AddrPort, requests int, pause time.Duration) error {
+	own := netip.AddrPortFrom(c.conn.LocalAddr().(*net.UDPAddr).AddrPort().Addr(), port)
+	f := &flow{callers: c, key: own, service: service, inbox: make(chan packet, 64), seq: rand.Uint32()}
+	c.register <- registration{port: port, inbox: f.inbox}
+	defer func() {
+		select {
+		case c.unregister <- port:
+		case <-ctx.Done():
+		}
+	}()
+	c.judge.sent(own, service)
+	if err := f.open(ctx); err != nil {
+		return err
+	}
+	for i := range requests {
+		if err := f.request(ctx, fmt.Sprintf("%s/%d", own, i)); err != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(pause):
+		}
+	}
+	f.callers.judge.ending(own)
+	f.send(finFlag|ackFlag, nil)
+	return nil
+}
+
+func (f *flow) send(flags byte, data []byte) {
+	f.callers.send(packet{source: f.key, destination: f.service, echo: f.echo, flags: flags, seq: f.seq, ack: f.ack, data: data})
+}
+
+// open sends the SYN and its copies until a target answers.
+func (f *flow) open(ctx context.Context) error {
+	end := time.After(attempt)
+	copies := []<-chan time.Time{time.After(0), time.After(200 * time.Millisecond), time.After(600 * time.Millisecond)}
+	for sent := 0; ; {
+		var next <-chan time.Time
+		if sent < len(copies) {
+			next = copies[sent]
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-end:
+			return errors.New("no target answered the SYN")
+		case <-next:
+			f.callers.send(packet{source: f.key, destination: f.service, flags: synFlag, seq: f.seq, ack: uint32(sent)})
+			sent++
+		case p := <-f.inbox:
+			if p.is(rstFlag) {
+				return errReset
+			}
+			if p.is(synFlag) && p.is(ackFlag) {
+				f.echo, f.ack, f.seq = p.echo, p.seq+1, f.seq+1
+				f.send(ackFlag, nil)
+				return nil
+			}
+		}
+	}
+}
+
+// request sends data until its answer came.
+func (f *flow) request(ctx context.Context, id string) error {
+	data, expected := []byte(id), f.ack
+	end := time.After(answerTime)
+	wait := 200 * time.Millisecond
+	again := time.After(0)
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-end:
+			return errors.New("no answer")
+		case <-again:
+			f.send(ackFlag, data)
+			again = time.After(wait)
+			wait = min(2*wait, 1600*time.Millisecond)
+		case p := <-f.inbox:
+			f.echo = p.echo
+			switch {
+			case p.is(rstFlag):
+				f.callers.judge.reset(f.key, p)
+				return errReset
+			case len(p.data) > 0 && p.seq == expected:
+				if string(p.data) != id {
+					f.callers.judge.broken("mixed", "request %s got the answer of %s", id, p.data)
+				}
+				f.seq += uint32(len(data))
+				f.ack += uint32(len(p.data))
+				return nil
+			}
+		}
+	}
+}
--- /dev/null
+++ b/standin/soak/schedule.go
@@ -0,0 +1,113 @@
+package soak
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"syscall"
+	"time"
+)
+
+// fault is something that goes wrong, or a planned change. It returns what
+// ends it, or nil when it is over at once.
+type fault struct {
+	name  string
+	begin func(r *run, rng *rand.Rand) func()
+}
+
+// faults lists all that a run may inject.
+func faults() []fault {
+	signal := func(s syscall.Signal, ends bool) func(*run, *rand.Rand) func() {
+		return func(r *run, rng *rand.Rand) func() {
+			r.anyHost(rng).signal(s, ends)
+			return nil
+		}
+	}
+	admin := func(body string) func(*run, *rand.Rand) func() {
+		return func(r *run, _ *rand.Rand) func() {
+			r.admin(http.MethodPut, "/admin/faults", body)
+			return func() { r.admin(http.MethodPut, "/admin/faults", "{}") }
+		}
+	}
+	return []fault{
+		{"kill", signal(syscall.SIGKILL, true)},
+		{"stop", signal(syscall.SIGTERM, true)},
+		{"reload", signal(syscall.SIGHUP, false)},
+		{"pause", func(r *run, rng *rand.Rand) func() {
+			h := r.anyHost(rng)
+			h.pause(true)
+			return func() { h.pause(false) }
+		}},
+		{"link", func(r *run, rng *rand.Rand) func() {
+			h := r.anyHost(rng)
+			h.proxy.set(1 + mode(rng.IntN(int(modes)-1)))
+			return func() { h.proxy.set(passing) }
+		}},
+		{"links", func(r *run, rng *rand.Rand) func() {
+			m := 1 + mode(rng.IntN(int(modes)-1))
+			for _, h := range r.hosts {
+				h.proxy.set(m)
+			}
+			return func() {
+				for _, h := range r.hosts {
+					h.proxy.set(passing)
+				}
+			}
+		}},
+		{"outage", admin(`{"Outage":true}`)},
+		{"slow", admin(`{"Latency":"300ms"}`)},
+		{"deaf", admin(`{"DeafWatches":true}`)},
+		{"silence", admin(`{"Silent":true}`)},
+		{"lost answers", admin(`{"LoseAnswers":3}`)},
+		{"compaction", func(r *run, _ *rand.Rand) func() {
+			r.admin(http.MethodPost, "/admin/compact", "")
+			return nil
+		}},
+		{"crash", func(r *run, rng *rand.Rand) func() { r.crash(rng); return nil }},
+		{"release", func(r *run, rng *rand.Rand) func() { r.replace(rng); return nil }},
+		{"configuration", func(r *run, rng *rand.Rand) func() { r.configure(rng); return nil }},
+		{"storm", func(r *run, rng *rand.Rand) func() {
+			for range 5 {
+				r.configure(rng)
+			}
+			return nil
+		}},
+	}
+}
+
+// disturb injects faults in an order that the seed gives until the time is up.
+// They overlap, and each ends by itself.
+func (r *run) disturb(ctx context.Context, rng *rand.Rand, length time.Duration) {
+	list := faults()
+	end := time.Now().Add(length)
+	ends := make(chan func(), 64)
+	active := 0
+	for time.Now().Before(end) && ctx.Err() == nil {
+		f := list[rng.IntN(len(list))]
+		lasts := time.Duration(300+rng.IntN(3700)) * time.Millisecond
+		pause := time.Duration(100+rng.IntN(1400)) * time.Millisecond
+		r.note("%s for %s", f.name, lasts)
+		over := r.judge.fault(f.name)
+		if undo := f.begin(r, rng); undo != nil {
+			active++
+			time.AfterFunc(lasts, func() { ends <- func() { undo(); over() } })
+		} else {
+			over()
+		}
+		for waiting := time.After(pause); waiting != nil; {
+			select {
+			case f := <-ends:
+				f()
+				active--
+			case <-waiting:
+				waiting = nil
+			case <-ctx.Done():
+				return
+			}
+		}
+	}
+	for ; active > 0 && ctx.Err() == nil; active-- {
+		(<-ends)()
+	}
+	r.admin(http.MethodPut, "/admin/faults", "{}")
+}
--- /dev/null
+++ b/standin/soak/soak_test.go
@@ -0,0 +1,40 @@
+package soak_test
+
+import (
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"pimentospread/standin/soak"
+)
+
+// TestShortSoak runs hosts as processes under faults. It guards against flows
+// that move or are reset while their target lives, requests that run twice,
+// answers that are mixed up, processes that end by themselves and configurations
+// that go back. Bounds in time are left to the runs by hand, since the machine
+// may be busy.
+func TestShortSoak(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "pimentospread")
+	build := exec.CommandContext(t.Context(), "go", "build", "-o", program, "pimentospread/cmd/pimentospread")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	tests := map[string]soak.Config{
+		"many kinds of faults": {Seed: 7, Length: 8 * time.Second, Hosts: 4, Callers: 12},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			c.Program, c.Dir = program, t.TempDir()
+			o, err := soak.Run(t.Context(), c)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff([]string{}, o.Violations); diff != "" || o.Requests == 0 {
+				t.Errorf("%d requests were answered; broken promises: %s", o.Requests, diff)
+			}
+		})
+	}
+}
