Measure decisions and platform calls with histograms

A clock that jumps could also end a shutdown early, since the time of the last packet was a time of day. The soak hung at its end, as the judge had ended before those who told it something.

Change: histograms of decisions (for the flows of the log's sample) and of calls, gauges of the event ring and of refused link messages, all on the operations page; the last packet is timed from the start of the host; the judge's context ends with the duties.

--- a/front/counters.go
+++ b/front/counters.go
@@ -14,7 +14,9 @@
 	metrics                   pimentospread.Metrics
 	receiveFailed, sendFailed pimentospread.Counter
 	doubts                    pimentospread.Counter
-	actions                   map[actionKey]pimentospread.Counter
+	// decided is the time of decisions, for the flows of the log's sample.
+	decided pimentospread.Histogram
+	actions map[actionKey]pimentospread.Counter
 }
 
 type actionKey struct {
@@ -22,12 +24,13 @@
 	cause steer.Cause
 }
 
-func newCounters(m pimentospread.Metrics) *counters {
+func newCounters(m pimentospread.Meters) *counters {
 	return &counters{
 		metrics:       m,
 		receiveFailed: m.Counter("pimentospread_receive_failures_total"),
 		sendFailed:    m.Counter(`pimentospread_send_failures_total{socket="data"}`),
 		doubts:        m.Counter("pimentospread_doubts_total"),
+		decided:       m.Histogram("pimentospread_decision_seconds"),
 		actions:       map[actionKey]pimentospread.Counter{},
 	}
 }
--- a/front/front.go
+++ b/front/front.go
@@ -178,7 +178,7 @@
 		socket: f.sockets.data, clock: f.clock, views: views, log: f.log,
 		steerer: newSteerer(s), counters: newCounters(f.metrics),
 		callerPort: f.sockets.data.Address().Port(), logShare: pimentospread.FlowID(s.FlowLogShare),
-		settings: ring.New[settings.Settings](1, ring.DropOldest),
+		settings: ring.New[settings.Settings](1, ring.DropOldest), started: f.clock.Now(),
 	}
 	f.network = peer.NewNetwork(peer.Deps{
 		Self: s.Host, Incarnation: pimentospread.Incarnation(f.clock.Now().UnixNano()), Listener: f.sockets.peer,
--- a/front/health.go
+++ b/front/health.go
@@ -81,9 +81,20 @@
 		}
 		return 0
 	}))
+	f.metrics.Gauge(`pimentospread_ring_items{ring="events"}`, func() float64 { return float64(f.belief.events.Len()) })
+	f.metrics.Gauge(`pimentospread_ring_refused{ring="links"}`, f.refusedByLinks)
 	f.metrics.Gauge("pimentospread_log_lines_dropped", func() float64 { return float64(f.logDuty.Dropped()) })
 }
 
+// refusedByLinks returns how many messages the queues of present links have dropped.
+func (f *Front) refusedByLinks() float64 {
+	sum := uint64(0)
+	for _, n := range f.network.Refused() {
+		sum += n
+	}
+	return float64(sum)
+}
+
 // gauge reads a value from the summary of beliefs, which is missing at first.
 func (f *Front) gauge(read func(*summary) float64) func() float64 {
 	return func() float64 {
--- a/front/shutdown.go
+++ b/front/shutdown.go
@@ -36,7 +36,7 @@
 		case <-check.C:
 		}
 		now := f.clock.Now()
-		quiet := now.Sub(time.Unix(0, f.steering.lastPacket.Load()))
+		quiet := now.Sub(f.steering.started.Add(time.Duration(f.steering.lastPacket.Load())))
 		switch {
 		case now.Sub(began) >= rotationTime && quiet >= quietTime:
 			f.log.Info("shutdown finished", "took", now.Sub(began), "quiet", quiet)
--- a/front/steering.go
+++ b/front/steering.go
@@ -34,7 +34,9 @@
 	logShare pimentospread.FlowID
 	// settings carries changed settings.
 	settings *ring.Ring[settings.Settings]
-	// lastPacket is the time of the last packet in nanoseconds since the Unix epoch, for the shutdown.
+	// started is the start of the host. lastPacket is the time from then to the
+	// last packet, for the shutdown; the time of day may jump.
+	started    time.Time
 	lastPacket atomic.Int64
 	buffer     platform.Buffer
 }
@@ -75,13 +77,16 @@
 
 func (s *steering) handle(n int) {
 	now := s.clock.Now()
-	s.lastPacket.Store(now.UnixNano())
+	s.lastPacket.Store(int64(now.Sub(s.started)))
 	p, err := s.buffer.Decode(n)
 	if err != nil {
 		s.counters.malformed(err)
 		return
 	}
 	a := s.steerer.Steer(now, p)
+	if p.Key.ID()%s.logShare == 0 {
+		s.counters.decided.Update(s.clock.Now().Sub(now).Seconds())
+	}
 	s.counters.action(a)
 	s.note(now, p, a)
 	s.noteDoubts(now)
--- a/front/watcher.go
+++ b/front/watcher.go
@@ -32,7 +32,7 @@
 	active *ring.Ring[bool]
 	// translate turns what was read into an event.
 	translate translation
-	calls     pimentospread.Metrics
+	calls     pimentospread.Meters
 	log       *slog.Logger
 }
 
@@ -78,7 +78,9 @@
 }
 
 func (w *watcher) list(ctx context.Context) {
+	began := w.clock.Now()
 	listing, err := w.feed.List(ctx, w.kind)
+	w.took("list", began)
 	if !w.answered(ctx, "list", err) {
 		return
 	}
@@ -91,7 +93,9 @@
 }
 
 func (w *watcher) watch(ctx context.Context, call feed.Call) {
+	began := w.clock.Now()
 	changes, err := w.feed.Changes(ctx, w.kind, call.After, call.Wait)
+	w.took("watch", began)
 	if errorx.IsOfType(err, pimentospread.ErrExpired) {
 		w.count("watch", "expired")
 		w.log.Warn("platform has lost its history; listing again", "kind", w.kind, "revision", call.After)
@@ -120,6 +124,11 @@
 	return false
 }
 
+// took notes the time of a call. That of a watch has the wait for a change in it.
+func (w *watcher) took(call string, began time.Time) {
+	w.calls.Histogram(fmt.Sprintf("pimentospread_platform_call_seconds{call=%q}", call)).Update(w.clock.Now().Sub(began).Seconds())
+}
+
 func (w *watcher) count(call, outcome string) {
 	w.calls.Counter(fmt.Sprintf("pimentospread_platform_calls_total{call=%q,kind=%q,outcome=%q}", call, w.kind, outcome)).Add(1)
 }
--- a/metrics.go
+++ b/metrics.go
@@ -19,3 +19,10 @@
 	// Update adds a value.
 	Update(value float64)
 }
+
+// Meters are metrics with histograms.
+type Meters interface {
+	Metrics
+	// Histogram returns the histogram of the given name, such as `call_seconds{call="x"}`.
+	Histogram(name string) Histogram
+}
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -86,9 +86,11 @@
 	b := newBook(c.Seed, c.Timed)
 	r := &run{
 		config: c, began: time.Now(), diary: diary, client: loopback.NewClient(5 * time.Second),
-		group: duty.NewGroup(ctx, slog.New(slog.NewTextHandler(os.Stderr, nil))),
-		judge: &judge{owner: owner.New[*book](questionRoom), ctx: ctx}, targets: map[string][]*live{}, flip: map[int]bool{}, next: 1,
+		group:   duty.NewGroup(ctx, slog.New(slog.NewTextHandler(os.Stderr, nil))),
+		targets: map[string][]*live{}, flip: map[int]bool{}, next: 1,
 	}
+	// Who tells the judge something gives up when the duties end.
+	r.judge = &judge{owner: owner.New[*book](questionRoom), ctx: r.group.Context()}
 	r.group.Go("judge", func(ctx context.Context) error { return r.judge.owner.Run(ctx, b) })
 	if err := r.start(); err != nil {
 		return Outcome{}, err
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -9,7 +9,7 @@
 	"pimentospread"
 )
 
-// Registry implements pimentospread.Metrics.
+// Registry implements pimentospread.Meters.
 type Registry struct {
 	set *metrics.Set
 }
