Drop unknown packets of changed buckets after a pause

Remote targets in doubt were also never tried, since trials looked at the own failure domain alone.

Change: until a paused host has heard its peers it drops packets whose record it would have to ask for; the sender repeats them and the fabric hands them to another host. A new flow that leaves the failure domain may try a doubted target there.

--- a/decide/steer.go
+++ b/decide/steer.go
@@ -145,6 +145,11 @@
 		return
 	}
 	if f.changed(now, choice) {
+		if now.Before(f.pausedUntil) {
+			// The live hosts of before the pause may name holders of a record that was given up.
+			f.drop(DropPaused, a)
+			return
+		}
 		f.ask(now, p, raw, a)
 		return
 	}
--- a/steer/choice.go
+++ b/steer/choice.go
@@ -46,6 +46,11 @@
 		}
 	}
 	if o, ok := s.cheapest(now, of, id, false); ok {
+		// A flow that leaves the failure domain may try a target there instead.
+		if t, due := trialDue(now, of.remote); trial && due && !o.local {
+			s.doubts.Tried(now, t.doubt)
+			return t, CauseTrial
+		}
 		return o, CauseRank
 	}
 	if o, ok := s.cheapest(now, of, id, true); ok {
--- a/steer/steerer_test.go
+++ b/steer/steerer_test.go
@@ -229,6 +229,30 @@
 	}
 }
 
+// Guards against targets of another failure domain that stay in doubt for ever
+// after a cut between the domains.
+func TestRemoteTargetsComeBack(t *testing.T) {
+	w := newWorld()
+	w.configure(1, toDesk())
+	doubted, other := registration("i-1", far), registration("i-2", far)
+	w.register(start, doubted)
+	w.steerer.Steer(start, syn(1, 0))
+	w.steerer.Steer(start.Add(silence), syn(1, 1))
+	w.register(start, doubted, other)
+	if a := w.steerer.Steer(start.Add(silence), syn(2, 0)); a.Name != other.Name {
+		t.Fatalf("new flow went to %s, which is in doubt", a.Name)
+	}
+	later := start.Add(2 * time.Second)
+	a := w.steerer.Steer(later, syn(3, 0))
+	if a.Name != doubted.Name || a.Cause != steer.CauseTrial {
+		t.Fatalf("%s to %s, want a trial of %s", a.Cause, a.Name, doubted.Name)
+	}
+	w.steerer.Steer(later, steer.Packet{Key: key(3), Token: a.Target, Sequence: 1, Ack: 1})
+	if got := len(w.steerer.Changes()); got != 2 {
+		t.Errorf("%d changes of doubt, want its begin and its end", got)
+	}
+}
+
 // Guards against a packet of an open flow that reaches another target, whatever
 // a host has heard and in whatever order.
 func TestOpenFlowNeverMoves(t *testing.T) {
