Take a copy right behind its SYN for no evidence

A host paused for 0.4 s woke with a SYN and its copy in its socket, took the copy 0.37 ms later for a sign that the target is silent, and opened the flow at a second target ("left packets unanswered ... silent=0s" in its log). Ruled out: another host; all lines of the flow are of h-0.

Change: a copy counts after 0.15 s at the earliest, as repeated data does, and else goes to the same target. The soak serves the platform by the stand-ins' own server, since httptest waited for calls that hang.

--- a/inflight/tracker.go
+++ b/inflight/tracker.go
@@ -130,7 +130,9 @@
 	t.start(now, f, 0)
 }
 
-// Choice returns the target to which a flow that is still opening was sent, and when.
+// Choice returns the target to which a flow that is still opening was sent, and
+// when. A copy of the SYN that follows at once, as after a pause of the host,
+// was sent long before and says nothing of the target: see Repeats.
 func (t *Tracker) Choice(id pimentospread.FlowID) (*Target, time.Time, bool) {
 	f, ok := t.flows[id]
 	if !ok || !f.opening {
@@ -139,6 +141,9 @@
 	return f.target, f.last, true
 }
 
+// Repeats reports whether a packet that follows one sent at the given time can be its repetition.
+func (t *Tracker) Repeats(now, sent time.Time) bool { return now.Sub(sent) >= t.config.Retransmission }
+
 // Signal is what a packet says of the flow's target.
 type Signal struct {
 	// Answered says that the caller has heard from the target since its last packet.
@@ -200,7 +205,7 @@
 		f.sent = end
 		f.last = now
 		t.start(now, f, p.Ack)
-	case !signal.Answered && now.Sub(f.last) >= t.config.Retransmission:
+	case !signal.Answered && t.Repeats(now, f.last):
 		signal.Repeated, signal.Sent = true, f.last
 		f.last = now
 	}
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -8,7 +8,6 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
-	"net/http/httptest"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -51,7 +50,8 @@
 	judge   *judge
 	hosts   []*host
 	callers *callers
-	store   *httptest.Server
+	// store is the URL of the platform.
+	store   string
 	client  *loopback.Client
 	group   *duty.Group
 	targets map[string][]*live
@@ -95,10 +95,6 @@
 	if err := r.start(); err != nil {
 		return Outcome{}, err
 	}
-	defer func() {
-		r.store.CloseClientConnections()
-		r.store.Close()
-	}()
 	rng := rand.New(rand.NewPCG(c.Seed, 1))
 	if err := r.ready(ctx); err != nil {
 		return Outcome{}, err
@@ -125,7 +121,12 @@
 func (r *run) start() error {
 	store := owner.New[*platform.Store](questionRoom)
 	r.group.Go("store", func(ctx context.Context) error { return store.Run(ctx, platform.NewStore()) })
-	r.store = httptest.NewServer(platform.NewHandler(store))
+	server, err := loopback.ListenHTTP(r.group.Context(), "127.0.0.1:0", platform.NewHandler(store))
+	if err != nil {
+		return err
+	}
+	r.group.Go("object API", server.Serve)
+	r.store = "http://" + server.Address().String()
 	r.configure(rand.New(rand.NewPCG(1, 1)))
 	for _, service := range services {
 		for range 4 {
@@ -134,13 +135,12 @@
 			}
 		}
 	}
-	var err error
 	if r.callers, err = newCallers(r.address(1, 1), r.judge, r.rotation); err != nil {
 		return err
 	}
 	r.group.Go("callers", r.callers.run)
 	for i := range r.config.Hosts {
-		p, err := newProxy(r.group.Context(), strings.TrimPrefix(r.store.URL, "http://"))
+		p, err := newProxy(r.group.Context(), strings.TrimPrefix(r.store, "http://"))
 		if err != nil {
 			return err
 		}
@@ -247,7 +247,7 @@
 
 // admin changes the stand-in of the platform.
 func (r *run) admin(method, path, body string) {
-	if _, err := r.client.Call(context.Background(), method, r.store.URL+path, nil, []byte(body)); err != nil {
+	if _, err := r.client.Call(context.Background(), method, r.store+path, nil, []byte(body)); err != nil {
 		r.judge.trouble("platform refuses %s: %v", path, err)
 	}
 }
@@ -260,9 +260,9 @@
 		body = ""
 	}
 	for {
-		place := r.store.URL + "/v1/objects/" + kind + "/" + name
+		place := r.store + "/v1/objects/" + kind + "/" + name
 		if method == http.MethodPost {
-			place = r.store.URL + "/v1/objects/" + kind
+			place = r.store + "/v1/objects/" + kind
 		}
 		_, err := r.client.Call(r.judge.ctx, method, place, nil, []byte(body))
 		// The answer to a write that was done may be lost; the next one then finds
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -24,6 +24,9 @@
 	}
 	tests := map[string]soak.Config{
 		"many kinds of faults": {Seed: 7, Length: 8 * time.Second, Hosts: 4, Callers: 12},
+		// A host that woke took a SYN and its copy in a row, doubted the target and
+		// opened the flow at a second one.
+		"copy behind its SYN after a pause": {Seed: 1185, Length: 3 * time.Second, Hosts: 5, Callers: 24},
 	}
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/steer/steerer.go
+++ b/steer/steerer.go
@@ -109,7 +109,9 @@
 	service := chooseService(route, flow)
 	if chosen, sent, ok := s.tracker.Choice(flow); ok && p.Copy > 0 {
 		if t, known := s.view.tokens[chosen.Token]; known {
-			s.repeated(now, t, sent)
+			if s.tracker.Repeats(now, sent) {
+				s.repeated(now, t, sent)
+			}
 			if !s.doubts.Target(chosen.Token).Doubted() {
 				return forward(t, CauseCopy)
 			}
--- a/steer/steerer_test.go
+++ b/steer/steerer_test.go
@@ -229,6 +229,22 @@
 	}
 }
 
+// Guards against a second target for a flow whose SYN and copy waited at a host
+// that was paused (soak, seed 1185).
+func TestCopyRightBehindItsSYN(t *testing.T) {
+	w := newWorld()
+	w.configure(1, toDesk())
+	w.register(start, registration("i-1", near), registration("i-2", near))
+	first := w.steerer.Steer(start, syn(1, 0))
+	again := w.steerer.Steer(start.Add(time.Millisecond), syn(1, 1))
+	if again.Name != first.Name || again.Cause != steer.CauseCopy {
+		t.Errorf("SYN went to %s, its copy 1 ms later to %s by %s", first.Name, again.Name, again.Cause)
+	}
+	if changes := w.steerer.Changes(); len(changes) != 0 {
+		t.Errorf("the target is in doubt: %+v", changes)
+	}
+}
+
 // Guards against targets of another failure domain that stay in doubt for ever
 // after a cut between the domains.
 func TestRemoteTargetsComeBack(t *testing.T) {
