--- a/telemetry/log.go
+++ b/telemetry/log.go
@@ -64,28 +64,27 @@
 	for {
 		select {
 		case <-ctx.Done():
-			l.write(l.gather(batch[:0]))
+			for rest := l.gather(batch[:0]); len(rest) > 0; rest = l.gather(batch[:0]) {
+				l.write(rest)
+			}
 			return nil
 		case line := <-l.lines.Items():
 			batch = append(batch[:0], line...)
 		}
-		if !l.rest(ctx) {
-			continue
-		}
+		rest(ctx)
 		batch = l.gather(batch)
 		l.write(batch)
 	}
 }
 
 // rest lets more lines come together.
-func (l *Log) rest(ctx context.Context) bool {
+func rest(ctx context.Context) {
 	t := time.NewTimer(batchDelay)
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
 	case <-t.C:
 	}
-	return true
 }
 
 // gather appends the lines that wait.
