Read the front's neighbors file once more

Cause: fields without a word on what they hold, and a comparison of maps that the library has. Change: maps.Equal, and comments where a name does not say enough. Behaviour is the same; the front tests pass.

--- a/front/neighbors.go
+++ b/front/neighbors.go
@@ -78,11 +78,15 @@
 	// seeds are the addresses of hosts whose names are not known.
 	seeds map[pimentospread.HostID]netip.AddrPort
 	peers feed.Peers
-	path  []pimentospread.HostID
+	// path names the hosts over which the belief was last confirmed. It is empty
+	// when the platform itself confirmed it.
+	path []pimentospread.HostID
 	// heard is when each host was last heard of.
-	heard      map[pimentospread.HostID]time.Time
-	linked     map[pimentospread.HostID]netip.AddrPort
-	position   feed.Position
+	heard map[pimentospread.HostID]time.Time
+	// linked are the hosts to which connections are kept.
+	linked   map[pimentospread.HostID]netip.AddrPort
+	position feed.Position
+	// subscribed and published are when the last subscription and news were sent.
 	subscribed time.Time
 	// answered says that the chosen peer has sent news.
 	answered  bool
@@ -102,6 +106,7 @@
 	return "platform"
 }
 
+// platformAnswered says up to when the platform has told everything.
 func (n *neighbors) platformAnswered(ctx context.Context, now, confirmed time.Time) {
 	stale := now.Sub(n.selector.Confirmed()) >= relayPatience
 	if confirmed.After(n.selector.Confirmed()) {
@@ -160,6 +165,7 @@
 	n.log.Info("hosts changed", "hosts", len(p.Hosts), "revision", p.Revision, "relay", n.selector.Relay())
 }
 
+// hearSubscribe takes the subscription of another host and answers it.
 func (n *neighbors) hearSubscribe(ctx context.Context, now time.Time, from pimentospread.HostID, m *feed.Subscribe, s feed.State) {
 	n.heard[from] = now
 	if !m.Leaves {
@@ -171,6 +177,8 @@
 	n.send(ctx, answers)
 }
 
+// hearNews takes the age of the sender's belief, and the hosts. The position is
+// that of this host after the news.
 func (n *neighbors) hearNews(ctx context.Context, now time.Time, from pimentospread.HostID, m *feed.News, position feed.Position) {
 	n.answered = n.answered || from == n.selector.Choice().Peer
 	before := n.selector.Confirmed()
@@ -224,6 +232,7 @@
 	n.forget(ctx, now)
 }
 
+// decide changes the source when the selector says so.
 func (n *neighbors) decide(ctx context.Context, now time.Time) {
 	if n.stopping {
 		return
@@ -287,25 +296,13 @@
 			want[p.Host] = p.Address
 		}
 	}
-	if equalLinks(want, n.linked) {
+	if maps.Equal(want, n.linked) {
 		return
 	}
 	n.linked = want
 	_ = n.network.SetPeers(ctx, want)
 }
 
-func equalLinks(a, b map[pimentospread.HostID]netip.AddrPort) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for id, address := range a {
-		if b[id] != address {
-			return false
-		}
-	}
-	return true
-}
-
 // leave tells subscribers and the source that this host stops.
 func (n *neighbors) leave(ctx context.Context) {
 	n.stopping = true
--- a/telemetry/log.go
+++ b/telemetry/log.go
@@ -64,8 +64,8 @@
 	for {
 		select {
 		case <-ctx.Done():
-			for rest := l.gather(batch[:0]); len(rest) > 0; rest = l.gather(batch[:0]) {
-				l.write(rest)
+			for waiting := l.gather(batch[:0]); len(waiting) > 0; waiting = l.gather(batch[:0]) {
+				l.write(waiting)
 			}
 			return nil
 		case line := <-l.lines.Items():
