--- a/front/front.go
+++ b/front/front.go
@@ -125,9 +125,9 @@
 // is for stacks, sockets and the program itself.
 const memoryShare = 0.6
 
-func limitMemory(megabytes int) {
+func limitMemory(megabytes float64) {
 	if megabytes > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(megabytes) * (1 << 20)))
+		debug.SetMemoryLimit(int64(memoryShare * megabytes * (1 << 20)))
 	}
 }
 
--- a/settings/check.go
+++ b/settings/check.go
@@ -68,7 +68,9 @@
 	}
 	c.positive("ShutdownGrace", s.ShutdownGrace)
 	c.between("RingCapacity", s.RingCapacity, 1, maxRingCapacity)
-	c.between("MemoryLimitMB", s.MemoryLimitMB, 0, maxMemoryMB)
+	if !(s.MemoryLimitMB >= 0 && s.MemoryLimitMB <= maxMemoryMB) {
+		c.fault("MemoryLimitMB", "is %v, must be between 0 and %d", s.MemoryLimitMB, maxMemoryMB)
+	}
 	s.checkLog(&c)
 	sortByField(c.faults)
 	return c.faults
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -76,7 +76,7 @@
 	// FlowLogShare is the number of flows of which one is logged from its first to its last decision (count). Unusual decisions are always logged, up to 200 lines a second.
 	FlowLogShare int `json:"FlowLogShare"`
 	// MemoryLimitMB is the memory that the process may use (MB). Zero means no limit.
-	MemoryLimitMB int `json:"MemoryLimitMB"`
+	MemoryLimitMB float64 `json:"MemoryLimitMB"`
 	// LogFormat is "json" or "text".
 	LogFormat string `json:"LogFormat"`
 	// LogLevel is "debug", "info", "warn" or "error".
