Bound the log lines of one list of targets and the bytes of one write

A first list of 150 targets wrote a line for each, and the batch of 50 KB was cut by its reader in the middle of a line. More than 200 targets used up the lines of their second as well. Change: 32 lines for one change of the list, the others as counts; writes of at most 4 KB, which a pipe keeps whole.

--- a/front/belief.go
+++ b/front/belief.go
@@ -35,6 +35,9 @@
 	// while the host knows too little to take packets.
 	tickInterval  = 250 * time.Millisecond
 	startInterval = 50 * time.Millisecond
+	// maxTargetLines bounds the log lines of one change of the list of targets. A
+	// first list of 150 targets used up the lines of its second.
+	maxTargetLines = 32
 )
 
 // belief is the duty that owns what the host believes of routes, targets and
@@ -181,10 +184,21 @@
 	b.tell(changes)
 }
 
-// tell logs changes of belief about targets.
+// tell logs changes of belief about targets, the last ones of a long list as counts.
 func (b *belief) tell(changes []directory.Change) {
+	if len(changes) == 0 {
+		return
+	}
+	b.changed = true
+	if rest := changes[min(maxTargetLines, len(changes)):]; len(rest) > 0 {
+		changes = changes[:maxTargetLines]
+		counts := map[directory.What]int{}
+		for _, c := range rest {
+			counts[c.What]++
+		}
+		b.log.Info("more targets changed", "counts", counts, "revision", b.directory.Revision(), "source", b.neighbors.source())
+	}
 	for _, c := range changes {
-		b.changed = true
 		r := c.Registration
 		b.log.Info("target "+string(c.What), "target", r.Name, "service", r.Service, "address", r.Address,
 			"target_domain", r.FailureDomain, "born", r.Born, "token", r.Token(), "revision", b.directory.Revision(),
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -140,7 +140,11 @@
 }
 
 func (g *target) register(s *store, state string) {
-	s.write(g.key(), fmt.Sprintf(`{"service":"desk","address":%q,"zone":"near","version":"v1","slots":2,"state":%q,"warmup_left_ms":0,"sequence":1,"born":5}`, g.conn.LocalAddr(), state))
+	s.write(g.key(), registrationText(g.conn.LocalAddr(), state))
+}
+
+func registrationText(address fmt.Stringer, state string) string {
+	return fmt.Sprintf(`{"service":"desk","address":%q,"zone":"near","version":"v1","slots":2,"state":%q,"warmup_left_ms":0,"sequence":1,"born":5}`, address, state)
 }
 
 // syn returns a packet that opens a flow to the address 198.18.0.1 at the port.
@@ -222,6 +226,21 @@
 	})
 }
 
+// Guards against a first list that uses up the log lines of its second, so that
+// the line on readiness is missing after a restart with many targets.
+func TestFirstListLeavesRoomInTheLog(t *testing.T) {
+	t.Parallel()
+	s := prepared()
+	for i := range 400 {
+		key := pimentospread.ObjectKey{Kind: platform.KindTargets, Name: fmt.Sprintf("i-%d", i+1)}
+		s.write(key, registrationText(loopback(20000+i), "ready"))
+	}
+	r := startFront(t, "h-1", s)
+	eventually(t, "readiness", r.ready)
+	eventually(t, "the line on readiness", func() bool { return r.log.has(`"msg":"host ready"`) })
+	eventually(t, "the line on the rest of the list", func() bool { return r.log.has(`"msg":"more targets changed"`) && r.log.has(`"added":368`) })
+}
+
 // Guards against changes that never reach the packets.
 func TestChangesTakeEffect(t *testing.T) {
 	t.Parallel()
--- a/telemetry/log.go
+++ b/telemetry/log.go
@@ -1,6 +1,7 @@
 package telemetry
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"log/slog"
@@ -20,8 +21,11 @@
 	// batchDelay gathers lines, so that a write carries many: at 200 lines a
 	// second a write for each would take more processor time than making the lines.
 	batchDelay = 100 * time.Millisecond
-	// maxBatch bounds the bytes of one write.
+	// maxBatch bounds the bytes that are gathered at a time.
 	maxBatch = 64 << 10
+	// maxWrite bounds the bytes of one write. POSIX keeps a write to a pipe whole up
+	// to this size; readers cut larger ones in the middle of a line.
+	maxWrite = 4 << 10
 )
 
 // Log is a logger that writes lines in a duty of its own. When the output
@@ -100,14 +104,28 @@
 	return batch
 }
 
+// write writes whole lines, as many as fit into one write.
 func (l *Log) write(batch []byte) {
-	if len(batch) == 0 {
-		return
+	for len(batch) > 0 {
+		n := fitting(batch)
+		if _, err := l.output.Write(batch[:n]); err != nil {
+			// There is no other place to say so; the counter shows the loss.
+			l.budget.dropped.Add(uint64(bytes.Count(batch[:n], []byte("\n"))))
+		}
+		batch = batch[n:]
+	}
+}
+
+// fitting returns the length of the lines that fit into one write. A line that
+// is longer than a write takes what follows with it.
+func fitting(batch []byte) int {
+	if len(batch) <= maxWrite {
+		return len(batch)
 	}
-	if _, err := l.output.Write(batch); err != nil {
-		// There is no other place to say so; the counter shows the loss.
-		l.budget.dropped.Add(1)
+	if i := bytes.LastIndexByte(batch[:maxWrite], '\n'); i >= 0 {
+		return i + 1
 	}
+	return len(batch)
 }
 
 // lineWriter puts each line into the ring. The handler writes one line a call.
--- a/telemetry/log_test.go
+++ b/telemetry/log_test.go
@@ -51,6 +51,41 @@
 	}
 }
 
+// writes keeps the writes apart.
+type writes struct{ all [][]byte }
+
+func (w *writes) Write(p []byte) (int, error) {
+	w.all = append(w.all, bytes.Clone(p))
+	return len(p), nil
+}
+
+// Guards against writes that a pipe does not keep whole, so that a reader joins
+// half a line of one process with a line of another.
+func TestWritesHoldWholeLines(t *testing.T) {
+	output := &writes{}
+	l := telemetry.NewLog(telemetry.LogConfig{Output: output, Level: slog.LevelInfo})
+	const lines = 180
+	for range lines {
+		l.Error("target added", "address", strings.Repeat("x", 300))
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	stop()
+	if err := l.Run(ctx); err != nil {
+		t.Fatal(err)
+	}
+	const pipeBuffer = 4096 // PIPE_BUF of Linux
+	written := 0
+	for _, w := range output.all {
+		if len(w) > pipeBuffer || !bytes.HasSuffix(w, []byte("\n")) {
+			t.Errorf("a write has %d bytes and ends with %q", len(w), w[len(w)-1])
+		}
+		written += bytes.Count(w, []byte("\n"))
+	}
+	if written != lines {
+		t.Errorf("%d lines written, want %d", written, lines)
+	}
+}
+
 // Guards against packets that fill the log.
 func TestLinesOfASecondAreBounded(t *testing.T) {
 	var output bytes.Buffer
