Ask the other hosts whether the target of a silent flow answers others

A flow is reset only when its target answers other flows, and a shard looked at its own flows alone: 200 flows over 3 hosts, 2 shards and 14 targets are 2 for each. Change: the question to the other hosts names the targets, and the reply says which of them answer other flows. A host of an earlier release says nothing. Test: a case of TestSilentFlowIsReset, 0 resets before, 1 after; the case without any answer of the target still gives none.

--- a/decide/mail.go
+++ b/decide/mail.go
@@ -200,7 +200,7 @@
 	case kindQuery:
 		return &flow.RecordQuery{Batch: n, Flows: flows}
 	case kindSilence:
-		return &flow.SilenceQuery{Batch: n, Within: max(f.silence.within, minWithin), Flows: flows}
+		return &flow.SilenceQuery{Batch: n, Within: max(f.silence.within, minWithin), Flows: flows, Targets: f.targetsOf(flows)}
 	default:
 		return &flow.RecordHandover{Batch: n, Records: records}
 	}
@@ -281,6 +281,6 @@
 			f.answered(now, id, holderAnswer{host: b.host, state: state}, a)
 		}
 	case kindSilence:
-		f.silenceMissed(b.flows)
+		f.silenceMissed(now, b.flows)
 	}
 }
--- a/decide/rules_test.go
+++ b/decide/rules_test.go
@@ -77,12 +77,16 @@
 		packets   bool
 		// resumed flows send a packet after the pause, and its answer passes another host.
 		resumed bool
+		// otherAt is the host that sees the answers to another flow of the target; -1 for none.
+		otherAt int
 		want    int
 	}{
-		"no answer at any host":  {-1, true, false, 1},
-		"answer at another host": {1, true, false, 0},
-		"quiet flow":             {-1, false, false, 0},
-		"packet after a pause":   {-1, false, true, 0},
+		"no answer at any host":                     {-1, true, false, 0, 1},
+		"answer at another host":                    {1, true, false, 0, 0},
+		"quiet flow":                                {-1, false, false, 0, 0},
+		"packet after a pause":                      {-1, false, true, 0, 0},
+		"another host sees that the target answers": {-1, true, false, 1, 1},
+		"no flow of the target is answered":         {-1, true, false, -1, 0},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -99,10 +103,14 @@
 				l.sendTo(0, p) // The acknowledgement of the last answer.
 			}
 			for i := range 60 {
-				_, _, _, resets := l.sendTo(0, answerOf(other, forwards[0]))
-				got += resets
+				if c.otherAt >= 0 {
+					_, _, _, resets := l.sendTo(c.otherAt, answerOf(other, forwards[0]))
+					got += resets
+				} else {
+					l.sendTo(1, l.packet())
+				}
 				if c.resumed && i == 52 {
-					_, _, _, resets = l.sendTo(0, p)
+					_, _, _, resets := l.sendTo(0, p)
 					got += resets
 					l.sendTo(1, answerOf(p, forwards[0]))
 				}
--- a/decide/silence.go
+++ b/decide/silence.go
@@ -45,6 +45,8 @@
 	waiting int
 	// seen says that a peer saw an answer or did not reply.
 	seen bool
+	// answering says that a peer sees the target answer other flows.
+	answering bool
 }
 
 func newSilence() silence {
@@ -63,7 +65,7 @@
 	if e.Seen-e.Unanswered < uint32(s.Policy.SilenceAfter.Seconds()) {
 		return
 	}
-	if p.SYN || p.RST || !e.Has(flow.Confirmed) || !f.alive(e) || f.silence.asked[p.ID] != nil || !f.takeSilence(now) {
+	if p.SYN || p.RST || !e.Has(flow.Confirmed) || f.view.Flagged[e.Target] || f.silence.asked[p.ID] != nil || !f.takeSilence(now) {
 		return
 	}
 	f.silence.asked[p.ID] = &silentFlow{packet: p, raw: slices.Clone(raw)}
@@ -74,12 +76,12 @@
 func (f *Flows) askSilent(now time.Time, a *FlowActions) {
 	q := &f.silence
 	for len(q.suspects) > 0 && !now.Before(q.suspects[0].due) {
-		f.askPeers(q.suspects[0].flow, a)
+		f.askPeers(now, q.suspects[0].flow, a)
 		q.suspects = q.suspects[1:]
 	}
 }
 
-func (f *Flows) askPeers(id pimentospread.FlowID, a *FlowActions) {
+func (f *Flows) askPeers(now time.Time, id pimentospread.FlowID, a *FlowActions) {
 	q := f.silence.asked[id]
 	if e := f.flows.Get(id); e == nil || !e.Has(flow.SentAgain) {
 		delete(f.silence.asked, id)
@@ -93,14 +95,26 @@
 		}
 	}
 	if q.waiting == 0 {
-		f.silenceVerdict(id, q, a)
+		f.silenceVerdict(now, id, q, a)
 	}
 }
 
-// alive reports whether the target of a flow answers other flows.
-func (f *Flows) alive(e *flow.Entry) bool {
-	heard, ok := f.silence.heard[e.Target]
-	return ok && e.Seen-heard <= f.silence.within && !f.view.Flagged[e.Target]
+// answering reports whether the target answers other flows. A shard holds few
+// flows of a target, so that the peers are asked as well.
+func (f *Flows) answering(now time.Time, t pimentospread.TargetID, within uint32) bool {
+	heard, ok := f.silence.heard[t]
+	return ok && f.seconds(now)-heard <= within
+}
+
+// targetsOf returns the target of each flow, zero for a flow that has ended.
+func (f *Flows) targetsOf(flows flow.IDs) []pimentospread.TargetID {
+	targets := make([]pimentospread.TargetID, len(flows))
+	for i, id := range flows {
+		if e := f.flows.Get(id); e != nil {
+			targets[i] = e.Target
+		}
+	}
+	return targets
 }
 
 func (f *Flows) takeSilence(now time.Time) bool {
@@ -117,15 +131,18 @@
 
 func (f *Flows) silenceQuery(now time.Time, from pimentospread.HostID, m *flow.SilenceQuery, a *FlowActions) {
 	reply := &flow.SilenceReply{Batch: m.Batch, Count: uint32(len(m.Flows))}
-	for _, id := range m.Flows {
+	for i, id := range m.Flows {
 		if e := f.flows.Get(id); e != nil && e.Answered != 0 && f.seconds(now)-e.Answered <= m.Within {
 			reply.Seen = append(reply.Seen, id)
 		}
+		if len(m.Targets) > 0 && f.answering(now, m.Targets[i], m.Within) {
+			reply.Answering = append(reply.Answering, id)
+		}
 	}
 	a.Peers = append(a.Peers, pimentospread.Outbound{To: from, Message: reply})
 }
 
-func (f *Flows) silenceReply(_ time.Time, from pimentospread.HostID, m *flow.SilenceReply, a *FlowActions) {
+func (f *Flows) silenceReply(now time.Time, from pimentospread.HostID, m *flow.SilenceReply, a *FlowActions) {
 	b, complete := f.mail.reply(from, m.Batch, m.Count)
 	if b == nil || b.kind != kindSilence {
 		return
@@ -135,38 +152,43 @@
 			q.seen = true
 		}
 	}
+	for _, id := range m.Answering {
+		if q := f.silence.asked[id]; q != nil {
+			q.answering = true
+		}
+	}
 	if !complete {
 		return
 	}
 	for _, id := range b.flows {
 		if q := f.silence.asked[id]; q != nil {
 			if q.waiting--; q.waiting == 0 {
-				f.silenceVerdict(id, q, a)
+				f.silenceVerdict(now, id, q, a)
 			}
 		}
 	}
 }
 
 // silenceMissed takes the lack of a reply as an answer that may have been seen.
-func (f *Flows) silenceMissed(flows flow.IDs) {
+func (f *Flows) silenceMissed(now time.Time, flows flow.IDs) {
 	for _, id := range flows {
 		if q := f.silence.asked[id]; q != nil {
 			q.seen = true
 			if q.waiting--; q.waiting == 0 {
-				f.silenceVerdict(id, q, &FlowActions{})
+				f.silenceVerdict(now, id, q, &FlowActions{})
 			}
 		}
 	}
 }
 
 // silenceVerdict ends a flow of which nobody saw an answer.
-func (f *Flows) silenceVerdict(id pimentospread.FlowID, q *silentFlow, a *FlowActions) {
+func (f *Flows) silenceVerdict(now time.Time, id pimentospread.FlowID, q *silentFlow, a *FlowActions) {
 	delete(f.silence.asked, id)
 	e := f.flows.Get(id)
 	if e == nil || !e.Has(flow.SentAgain) {
 		return
 	}
-	if q.seen || !f.alive(e) {
+	if q.seen || f.view.Flagged[e.Target] || !q.answering && !f.answering(now, e.Target, f.silence.within) {
 		// The answer may be older than the silence, so the time counts from here.
 		e.Unanswered = e.Seen
 		return
--- a/flow/message.go
+++ b/flow/message.go
@@ -83,12 +83,14 @@
 	Suspended []pimentospread.TargetID `msgpack:"S,omitempty"`
 }
 
-// SilenceQuery asks whether an answer packet of the flows was seen.
+// SilenceQuery asks whether answer packets of the flows and of their targets were seen.
 type SilenceQuery struct {
 	Batch Batch `msgpack:"B"`
 	// Within is the number of seconds to look back.
 	Within uint32 `msgpack:"W"`
 	Flows  IDs    `msgpack:"I"`
+	// Targets are the targets of the flows, one for each. A host of an earlier release sends none.
+	Targets []pimentospread.TargetID `msgpack:"T,omitempty"`
 }
 
 // SilenceReply answers a part of a SilenceQuery.
@@ -97,6 +99,8 @@
 	Count uint32 `msgpack:"C"`
 	// Seen are the flows of which an answer packet was seen.
 	Seen IDs `msgpack:"E,omitempty"`
+	// Answering are the flows whose targets answer other flows.
+	Answering IDs `msgpack:"A,omitempty"`
 }
 
 // MessageKind returns the name of the message.
--- a/flow/message_test.go
+++ b/flow/message_test.go
@@ -58,14 +58,15 @@
 // Guards against a malformed message that reaches the decisions.
 func TestMalformedMessagesAreRefused(t *testing.T) {
 	refused := map[string]flow.Message{
-		"put without target":         &flow.RecordPut{Records: flow.Records{{Flow: 1}}},
-		"put with service too large": &flow.RecordPut{Records: flow.Records{{Flow: 1, Target: 1, Service: 1 << 24}}},
-		"query without batch":        &flow.RecordQuery{Flows: flow.IDs{1}},
-		"query without flows":        &flow.RecordQuery{Batch: 1},
-		"reply lists above count":    &flow.SilenceReply{Batch: 1, Seen: flow.IDs{1}},
-		"reply without batch":        &flow.RecordPutReply{Count: 1},
-		"silence without time":       &flow.SilenceQuery{Batch: 1, Flows: flow.IDs{1}},
-		"suspended zero":             &flow.RecordHandover{Suspended: []pimentospread.TargetID{0}},
+		"put without target":              &flow.RecordPut{Records: flow.Records{{Flow: 1}}},
+		"put with service too large":      &flow.RecordPut{Records: flow.Records{{Flow: 1, Target: 1, Service: 1 << 24}}},
+		"query without batch":             &flow.RecordQuery{Flows: flow.IDs{1}},
+		"query without flows":             &flow.RecordQuery{Batch: 1},
+		"reply lists above count":         &flow.SilenceReply{Batch: 1, Seen: flow.IDs{1}},
+		"reply without batch":             &flow.RecordPutReply{Count: 1},
+		"silence with targets for others": &flow.SilenceQuery{Batch: 1, Within: 4, Flows: flow.IDs{1, 2}, Targets: []pimentospread.TargetID{1}},
+		"silence without time":            &flow.SilenceQuery{Batch: 1, Flows: flow.IDs{1}},
+		"suspended zero":                  &flow.RecordHandover{Suspended: []pimentospread.TargetID{0}},
 	}
 	for name, m := range refused {
 		t.Run(name, func(t *testing.T) {
@@ -93,3 +94,25 @@
 		})
 	}
 }
+
+// Guards against a question that names the target of another flow after its split.
+func TestSilenceQueryKeepsTargetsWithTheirFlows(t *testing.T) {
+	query := &flow.SilenceQuery{Batch: 1, Within: 4}
+	for i := range 100 {
+		query.Flows = append(query.Flows, pimentospread.FlowID(i)<<56|pimentospread.FlowID(i))
+		query.Targets = append(query.Targets, pimentospread.TargetID(i+1))
+	}
+	count := 0
+	for _, part := range query.Split(3) {
+		q := part.(*flow.SilenceQuery)
+		for i, id := range q.Flows {
+			count++
+			if want := pimentospread.TargetID(id&0xff) + 1; q.Targets[i] != want {
+				t.Errorf("flow %x comes with target %d, want %d", uint64(id), q.Targets[i], want)
+			}
+		}
+	}
+	if count != len(query.Flows) {
+		t.Errorf("%d flows in the parts, want %d", count, len(query.Flows))
+	}
+}
--- a/flow/shard.go
+++ b/flow/shard.go
@@ -64,9 +64,16 @@
 // Split returns the flows of each shard.
 func (m *SilenceQuery) Split(shards int) []pimentospread.Message {
 	parts := make([]pimentospread.Message, shards)
-	for i, ids := range m.Flows.split(shards) {
-		if len(ids) > 0 {
-			parts[i] = &SilenceQuery{Batch: m.Batch, Within: m.Within, Flows: ids}
+	for n, id := range m.Flows {
+		i := ShardOf(id, shards)
+		q, ok := parts[i].(*SilenceQuery)
+		if !ok {
+			q = &SilenceQuery{Batch: m.Batch, Within: m.Within}
+			parts[i] = q
+		}
+		q.Flows = append(q.Flows, id)
+		if len(m.Targets) > 0 {
+			q.Targets = append(q.Targets, m.Targets[n])
 		}
 	}
 	return parts
--- a/flow/validate.go
+++ b/flow/validate.go
@@ -45,12 +45,15 @@
 	if m.Within == 0 {
 		return invalid(KindSilenceQuery, "looks back 0 seconds")
 	}
+	if n := len(m.Targets); n != 0 && n != len(m.Flows) {
+		return invalid(KindSilenceQuery, "names %d targets for %d flows", n, len(m.Flows))
+	}
 	return validateQuery(KindSilenceQuery, m.Batch, len(m.Flows))
 }
 
 // Validate returns an error when the content cannot come from a sound host.
 func (m *SilenceReply) Validate() error {
-	return validateReply(KindSilenceReply, m.Batch, m.Count, len(m.Seen))
+	return validateReply(KindSilenceReply, m.Batch, m.Count, max(len(m.Seen), len(m.Answering)))
 }
 
 func (r Records) validate(kind pimentospread.MessageKind) error {
