Let a host name another address for the other hosts than the one it binds

Cause: a host registered the address at which it listens. With a PeerAddress for all interfaces that is 0.0.0.0, at which nobody reaches it, and a proxy between hosts had no place. Change: AdvertisedPeerAddress; it is required when PeerAddress is that of all interfaces. Test: TestEntryNamesTheAdvertisedAddress and two cases of the settings.

--- a/front/front.go
+++ b/front/front.go
@@ -221,11 +221,12 @@
 }
 
 func (f *Front) self() feed.Peer {
-	address := f.sockets.peer.Addr().(*net.TCPAddr).AddrPort()
-	return feed.Peer{
-		Host: f.settings.Host, FailureDomain: f.settings.FailureDomain,
-		Address: netip.AddrPortFrom(address.Addr().Unmap(), address.Port()),
+	address := f.settings.AdvertisedPeerAddress
+	if !address.IsValid() {
+		bound := f.sockets.peer.Addr().(*net.TCPAddr).AddrPort()
+		address = netip.AddrPortFrom(bound.Addr().Unmap(), bound.Port())
 	}
+	return feed.Peer{Host: f.settings.Host, FailureDomain: f.settings.FailureDomain, Address: address}
 }
 
 func (f *Front) newNeighbors() *neighbors {
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -61,13 +61,19 @@
 }
 
 func startFront(t *testing.T, name string, s *store, seeds ...netip.AddrPort) *running {
+	t.Helper()
+	return startFrontWith(t, name, "", s, seeds...)
+}
+
+// startFrontWith adds fields to the settings.
+func startFrontWith(t *testing.T, name, fields string, s *store, seeds ...netip.AddrPort) *running {
 	t.Helper()
 	r := &running{log: &output{}, ended: make(chan error, 1), reload: make(chan os.Signal, 1)}
 	var list []string
 	for _, a := range seeds {
 		list = append(list, fmt.Sprintf(`{"PeerAddress":%q}`, a))
 	}
-	r.source = []byte(fmt.Sprintf(`{"Encapsulation":"token","Host":%q,"FailureDomain":"near","PlatformURL":"http://127.0.0.1:1","ShutdownGrace":"6s","Seeds":[%s]}`, name, strings.Join(list, ",")))
+	r.source = []byte(fmt.Sprintf(`{"Encapsulation":"token","Host":%q,"FailureDomain":"near","PlatformURL":"http://127.0.0.1:1","ShutdownGrace":"6s",%s"Seeds":[%s]}`, name, fields, strings.Join(list, ",")))
 	decoded, faults, err := settings.Decode(r.source)
 	if err != nil || len(faults) > 0 {
 		t.Fatal(faults, err)
@@ -226,6 +232,19 @@
 	})
 }
 
+// Guards against an entry that names an address at which nobody reaches the host.
+func TestEntryNamesTheAdvertisedAddress(t *testing.T) {
+	t.Parallel()
+	s := prepared()
+	startFrontWith(t, "h-1", `"PeerAddress":"0.0.0.0:0","TrustedNetwork":true,"AdvertisedPeerAddress":"127.0.0.9:7000",`, s)
+	eventually(t, "the entry of the host", func() bool {
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		entry := s.objects[pimentospread.ObjectKey{Kind: pimentospread.KindHost, Name: "h-1"}]
+		return strings.Contains(string(entry.Value), `"127.0.0.9:7000"`)
+	})
+}
+
 // Guards against a first list that uses up the log lines of its second, so that
 // the line on readiness is missing after a restart with many targets.
 func TestFirstListLeavesRoomInTheLog(t *testing.T) {
--- a/settings/check.go
+++ b/settings/check.go
@@ -111,6 +111,11 @@
 		c.fault("RemoteCost", "is %v, must not be below 0", s.RemoteCost)
 	}
 	c.share("ColdSpeed", s.ColdSpeed)
+	if advertised := s.AdvertisedPeerAddress; advertised.Addr().IsUnspecified() && advertised.IsValid() {
+		c.fault("AdvertisedPeerAddress", "%s is no address of one host", advertised)
+	} else if s.PeerAddress.Addr().IsUnspecified() && s.PeerAddress.IsValid() && !advertised.IsValid() {
+		c.fault("AdvertisedPeerAddress", "is required when PeerAddress is %s", s.PeerAddress)
+	}
 	c.between("FlowLogShare", s.FlowLogShare, 1, math.MaxInt32)
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -35,6 +35,8 @@
 	RequestAddress netip.AddrPort `json:"RequestAddress"`
 	// PeerAddress is the TCP address for the other hosts of the cell.
 	PeerAddress netip.AddrPort `json:"PeerAddress"`
+	// AdvertisedPeerAddress is the address at which the other hosts reach PeerAddress, when it is another one, as behind a proxy or with a PeerAddress for all interfaces. Used with token.
+	AdvertisedPeerAddress netip.AddrPort `json:"AdvertisedPeerAddress"`
 	// PeerKeys are the PEM files that authenticate the hosts of the cell to each other with TLS 1.3. Without them links are plain TCP, which is allowed on loopback addresses only.
 	PeerKeys keys.Files `json:"PeerKeys"`
 	// ReadyAddress is the TCP address at which the fabric asks whether the host takes packets. Used with token; vxlan answers it at AdminAddress.
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -61,6 +61,14 @@
 				"MemoryLimitMB: is -1, must be between 0 and 1048576",
 			},
 		},
+		"all interfaces and no address for the other hosts": {
+			text:   `{"Encapsulation":"token","Host":"h","FailureDomain":"f","PlatformURL":"http://127.0.0.1:1","PeerAddress":"0.0.0.0:7000","TrustedNetwork":true}`,
+			faults: []string{"AdvertisedPeerAddress: is required when PeerAddress is 0.0.0.0:7000"},
+		},
+		"the address for the other hosts is that of all interfaces": {
+			text:   `{"Encapsulation":"token","Host":"h","FailureDomain":"f","PlatformURL":"http://127.0.0.1:1","AdvertisedPeerAddress":"0.0.0.0:7000"}`,
+			faults: []string{"AdvertisedPeerAddress: 0.0.0.0:7000 is no address of one host"},
+		},
 		"unknown encapsulation": {
 			text: sound + `,"Encapsulation":"x"}`, faults: []string{`Encapsulation: "x" is neither vxlan nor token`},
 		},
