Give the platform stand-in late writes, late events and rates, and the soak links between hosts

The stand-in deleted objects whatever revision the call named. Change: faults LateWrites, LateBy, Lag, ReadsPerSecond and WritesPerSecond; a delete under another revision is refused; the soak puts a proxy before each host's peer address and injects the new faults. Cases that hold an old seed name the kinds of faults it was found with. make demo-platform prints a table. Tests: TestFaultsOfTheUsersPlatform (the delete case failed before), TestRates, TestTableShowsBrokenPromises, a case of TestShortSoak.

--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,7 @@
 # Hosts as processes before stand-ins of the users' platform, targets and callers,
 # with a fixed series of faults; prints the outcome and fails if a promise broke.
 demo-platform: build
-	bin/standin soak --seed 1 --length 20s --dir $${TMPDIR:-/tmp}/pimentospread-demo
+	bin/standin soak --seed 1 --length 20s --output table --dir $${TMPDIR:-/tmp}/pimentospread-demo
 
 # SEED=0 takes fresh seeds. Each run takes about half a minute.
 SEED ?= 0
--- a/standin/platform/faults.go
+++ b/standin/platform/faults.go
@@ -14,6 +14,8 @@
 		panic(http.ErrAbortHandler)
 	case f.Outage:
 		http.Error(w, "outage", http.StatusServiceUnavailable)
+	case f.exceeded:
+		http.Error(w, "too many calls", http.StatusTooManyRequests)
 	case f.rejects(r):
 		http.Error(w, "this host is turned away", f.RejectStatus)
 	default:
--- a/standin/platform/handler.go
+++ b/standin/platform/handler.go
@@ -45,22 +45,17 @@
 
 // enter counts the call and applies the faults. It reports false when the call was answered already.
 func (h handler) enter(w http.ResponseWriter, r *http.Request, counter func(*Store) *int) bool {
-	standIn := r.UserAgent() == loopback.UserAgent
-	f, err := owner.Ask(r.Context(), h.store, func(s *Store) Faults { return s.admit(counter(s), standIn) })
+	standIn, now := isStandIn(r), time.Now()
+	f, err := owner.Ask(r.Context(), h.store, func(s *Store) Faults { return s.admit(now, counter(s), standIn) })
 	if err != nil {
 		fail(w, err)
 		return false
 	}
-	if f.Latency.Duration > 0 {
-		select {
-		case <-time.After(f.Latency.Duration):
-		case <-r.Context().Done():
-			return false
-		}
-	}
-	return !f.strike(w, r)
+	return pause(r.Context(), f.Latency.Duration) && !f.strike(w, r)
 }
 
+func isStandIn(r *http.Request) bool { return r.UserAgent() == loopback.UserAgent }
+
 func key(r *http.Request) pimentospread.ObjectKey {
 	return pimentospread.ObjectKey{Kind: pimentospread.ObjectKind(r.PathValue("Kind")), Name: r.PathValue("Name")}
 }
--- a/standin/platform/objects.go
+++ b/standin/platform/objects.go
@@ -1,6 +1,8 @@
 package platform
 
 import (
+	"cmp"
+	"context"
 	"encoding/json"
 	"net/http"
 	"strconv"
@@ -79,7 +81,7 @@
 	if create {
 		k.Name = o.Meta.Name
 	}
-	h.answerStore(w, r, func(s *Store) result {
+	h.change(w, r, func(s *Store) result {
 		expected := o.Meta.Revision
 		if held, err := s.Get(k); err == nil && !create && expected == 0 {
 			expected = held.Version
@@ -94,8 +96,16 @@
 		return
 	}
 	k := key(r)
-	h.answerStore(w, r, func(s *Store) result {
+	revision, err := strconv.ParseUint(cmp.Or(r.URL.Query().Get("revision"), "0"), 10, 64)
+	if err != nil {
+		http.Error(w, "revision is not a number", http.StatusBadRequest)
+		return
+	}
+	h.change(w, r, func(s *Store) result {
 		o, err := s.Get(k)
+		if err == nil && revision != 0 && o.Version != pimentospread.ObjectVersion(revision) {
+			err = pimentospread.At(pimentospread.ErrConflict.New("%s %q has revision %d, not %d", k.Kind, k.Name, o.Version, revision), "delete", "")
+		}
 		if err == nil {
 			err = s.Delete(k)
 		}
@@ -103,6 +113,27 @@
 	})
 }
 
+// change makes a write, or leaves it unanswered and makes it later.
+func (h handler) change(w http.ResponseWriter, r *http.Request, write func(*Store) result) {
+	if isStandIn(r) {
+		h.answerStore(w, r, write)
+		return
+	}
+	delay, err := owner.Ask(r.Context(), h.store, (*Store).delay)
+	switch {
+	case err != nil:
+		fail(w, err)
+	case delay > 0:
+		time.AfterFunc(delay, func() {
+			// Nobody hears the outcome, as with the platform.
+			_, _ = owner.Ask(context.WithoutCancel(r.Context()), h.store, write)
+		})
+		panic(http.ErrAbortHandler) // closes the connection without an answer
+	default:
+		h.answerStore(w, r, write)
+	}
+}
+
 func (h handler) answerStore(w http.ResponseWriter, r *http.Request, question func(*Store) result) {
 	a, err := owner.Ask(r.Context(), h.store, question)
 	switch {
@@ -149,6 +180,7 @@
 	err     error
 	changed <-chan struct{}
 	deaf    bool
+	lag     time.Duration
 }
 
 func (h handler) watchKind(w http.ResponseWriter, r *http.Request) {
@@ -168,7 +200,7 @@
 	for {
 		v, err := owner.Ask(r.Context(), h.store, func(s *Store) state {
 			changes, err := s.Since(key(r).Kind, pimentospread.ObjectVersion(after))
-			return state{changes, err, s.changed, s.faults.DeafWatches}
+			return state{changes, err, s.changed, s.faults.DeafWatches, s.faults.Lag.Duration}
 		})
 		switch {
 		case err != nil:
@@ -181,6 +213,9 @@
 			loopback.WriteJSON(w, http.StatusOK, storeEvents{Events: []storeEvent{}, CurrentRev: pimentospread.ObjectVersion(after)})
 			return
 		case last || len(v.changes.Changes) > 0 && !v.deaf:
+			if !pause(r.Context(), v.lag) {
+				return
+			}
 			loopback.WriteJSON(w, http.StatusOK, inEventForm(v.changes))
 			return
 		}
@@ -194,6 +229,21 @@
 	}
 }
 
+// pause reports whether the context still holds after the time.
+func pause(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 func inEventForm(c pimentospread.Changes) storeEvents {
 	e := storeEvents{Events: []storeEvent{}, CurrentRev: c.Revision}
 	for _, change := range c.Changes {
--- a/standin/platform/platform_test.go
+++ b/standin/platform/platform_test.go
@@ -60,14 +60,9 @@
 	}
 	for name, steps := range tests {
 		t.Run(name, func(t *testing.T) {
-			store := owner.New[*platform.Store](16)
-			ctx, stop := context.WithCancel(context.Background())
-			defer stop()
-			go func() { _ = store.Run(ctx, platform.NewStore()) }()
-			server := httptest.NewServer(platform.NewHandler(store))
-			defer server.Close()
+			url := serve(t)
 			for _, s := range steps {
-				status, body := call(t, server.URL, s)
+				status, body := call(t, url, s)
 				if status != s.status || !strings.Contains(body, s.contains) {
 					t.Errorf("%s %s: got %d %s, want %d with %q", s.method, s.path, status, body, s.status, s.contains)
 				}
@@ -98,20 +93,89 @@
 	return a.StatusCode, body.String()
 }
 
-// Guards against a watch that misses the write which it waits for.
-func TestWatchEndsWithTheNextWrite(t *testing.T) {
+// Guards against faults of the users' platform that tests ask for and do not get.
+func TestFaultsOfTheUsersPlatform(t *testing.T) {
+	const kind = "/v1/objects/notes"
+	tests := map[string][]step{
+		"a late write is done though it was not answered": {
+			{"PUT", "/admin/faults", "", `{"LateWrites":1,"LateBy":"20ms"}`, 200, ""},
+			{"POST", kind, "", `{"meta":{"name":"a"},"spec":1}`, 0, ""},
+			{"GET", kind + "?watch=0&wait_ms=30000", "", "", 200, `"name":"a"`},
+		},
+		"a late write whose condition does not hold is not done": {
+			{"POST", kind, "", `{"meta":{"name":"a"},"spec":1}`, 200, ""},
+			{"PUT", "/admin/faults", "", `{"LateWrites":1,"LateBy":"20ms"}`, 200, ""},
+			{"DELETE", kind + "/a?revision=9", "", "", 0, ""},
+			{"GET", kind + "?watch=1&wait_ms=100", "", "", 200, `"events":[]`},
+			{"GET", kind + "/a", "", "", 200, `"revision":1`},
+		},
+		"late events come": {
+			{"POST", kind, "", `{"meta":{"name":"a"},"spec":1}`, 200, ""},
+			{"PUT", "/admin/faults", "", `{"Lag":"20ms"}`, 200, ""},
+			{"GET", kind + "?watch=0&wait_ms=1000", "", "", 200, `"name":"a"`},
+		},
+		"a delete under another revision": {
+			{"POST", kind, "", `{"meta":{"name":"a"},"spec":1}`, 200, ""},
+			{"DELETE", kind + "/a?revision=7", "", "", 409, "has revision 1, not 7"},
+			{"DELETE", kind + "/a?revision=1", "", "", 200, ""},
+		},
+	}
+	for name, steps := range tests {
+		t.Run(name, func(t *testing.T) {
+			url := serve(t)
+			for _, s := range steps {
+				status, body := call(t, url, s)
+				if status != s.status || !strings.Contains(body, s.contains) {
+					t.Errorf("%s %s: got %d %s, want %d with %q", s.method, s.path, status, body, s.status, s.contains)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a platform that answers any number of calls.
+func TestRates(t *testing.T) {
+	url := serve(t)
+	call(t, url, step{method: "PUT", path: "/admin/faults", body: `{"ReadsPerSecond":2,"WritesPerSecond":1}`})
+	refused := 0
+	for range 50 {
+		if status, _ := call(t, url, step{method: "GET", path: "/v1/objects/notes"}); status == http.StatusTooManyRequests {
+			refused++
+		}
+	}
+	if refused == 0 {
+		t.Error("none of 50 reads was refused with a rate of 2 a second")
+	}
+}
+
+// serve starts a stand-in with an empty store and returns its URL.
+func serve(t *testing.T) string {
+	t.Helper()
 	store := owner.New[*platform.Store](16)
 	ctx, stop := context.WithCancel(context.Background())
-	defer stop()
-	go func() { _ = store.Run(ctx, platform.NewStore()) }()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = store.Run(ctx, platform.NewStore())
+	}()
 	server := httptest.NewServer(platform.NewHandler(store))
-	defer server.Close()
+	t.Cleanup(func() {
+		server.Close()
+		stop()
+		<-ended
+	})
+	return server.URL
+}
+
+// Guards against a watch that misses the write which it waits for.
+func TestWatchEndsWithTheNextWrite(t *testing.T) {
+	url := serve(t)
 	answer := make(chan string, 1)
 	go func() {
-		_, body := call(t, server.URL, step{method: "GET", path: "/objects/Roster?After=0&Wait=50s&Name=cell"})
+		_, body := call(t, url, step{method: "GET", path: "/objects/Roster?After=0&Wait=50s&Name=cell"})
 		answer <- body
 	}()
-	call(t, server.URL, step{method: "PUT", path: "/objects/Roster/cell", match: "0", body: `{"Value":{"Hosts":[]}}`})
+	call(t, url, step{method: "PUT", path: "/objects/Roster/cell", match: "0", body: `{"Value":{"Hosts":[]}}`})
 	_, object, _ := strings.Cut(<-answer, "\r\n\r\n")
 	var got map[string]any
 	if err := json.Unmarshal([]byte(object), &got); err != nil {
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"slices"
 	"strings"
+	"time"
 
 	"pimentospread"
 )
@@ -28,6 +29,8 @@
 	changed chan struct{}
 	faults  Faults
 	calls   Calls
+	reads   secondCount
+	writes  secondCount
 }
 
 // Faults are the faults that the platform shows.
@@ -45,8 +48,20 @@
 	// RejectFrom names the IP addresses whose calls get RejectStatus.
 	RejectFrom   []string `json:"RejectFrom"`
 	RejectStatus int      `json:"RejectStatus"`
+	// exceeded says that the call is above the rate of its kind.
+	exceeded bool
 	// PageSize is the number of objects in a page of a list. Zero means 500.
 	PageSize int `json:"PageSize"`
+	// LateWrites is the number of writes of hosts that are not answered and are
+	// done after LateBy, if their condition holds then.
+	LateWrites int                    `json:"LateWrites"`
+	LateBy     pimentospread.Duration `json:"LateBy"`
+	// Lag delays the events of watches.
+	Lag pimentospread.Duration `json:"Lag"`
+	// ReadsPerSecond and WritesPerSecond bound the calls of all hosts together.
+	// Zero means no bound.
+	ReadsPerSecond  int `json:"ReadsPerSecond"`
+	WritesPerSecond int `json:"WritesPerSecond"`
 }
 
 // Calls counts calls. Each call counts once, a waiting watch included.
@@ -128,19 +143,57 @@
 	return o.Kind == w.kind && (w.name == "" || o.Name == w.name) && o.Version > w.after
 }
 
-// admit counts a call and returns the faults that it meets.
-func (s *Store) admit(count *int, standIn bool) Faults {
+// admit counts a call and returns the faults that it meets. Stand-ins are not
+// held to the rates.
+func (s *Store) admit(now time.Time, count *int, standIn bool) Faults {
 	switch {
 	case s.faults.Outage:
 		s.calls.Refused++
 	case standIn:
 		s.calls.StandIn++
+	case s.exceeds(now, count):
+		s.calls.Refused++
+		f := s.faults
+		f.exceeded = true
+		return f
 	default:
 		*count++
 	}
 	return s.faults
 }
 
+// exceeds counts a call against the rate of its kind.
+func (s *Store) exceeds(now time.Time, count *int) bool {
+	if count == &s.calls.Put {
+		return s.writes.exceeds(now, s.faults.WritesPerSecond)
+	}
+	return s.reads.exceeds(now, s.faults.ReadsPerSecond)
+}
+
+// secondCount counts the calls of the present second.
+type secondCount struct {
+	second int64
+	calls  int
+}
+
+// exceeds counts a call and reports whether it is above the limit, if there is one.
+func (c *secondCount) exceeds(now time.Time, limit int) bool {
+	if second := now.Unix(); second != c.second {
+		c.second, c.calls = second, 0
+	}
+	c.calls++
+	return limit > 0 && c.calls > limit
+}
+
+// delay returns how late the write of a host is done; zero means at once.
+func (s *Store) delay() time.Duration {
+	if s.faults.LateWrites == 0 {
+		return 0
+	}
+	s.faults.LateWrites--
+	return s.faults.LateBy.Duration
+}
+
 // loseAnswer says whether the answer to the write that just happened is lost.
 func (s *Store) loseAnswer() bool {
 	if s.faults.LoseAnswers == 0 {
--- a/standin/soak/command.go
+++ b/standin/soak/command.go
@@ -26,6 +26,7 @@
 			&cli.IntFlag{Name: "hosts", Value: 5, Usage: "number of hosts"},
 			&cli.IntFlag{Name: "callers", Value: 24, Usage: "number of callers"},
 			&cli.BoolFlag{Name: "timed", Value: true, Usage: "check bounds in time as well; a busy machine may break them"},
+			&cli.StringFlag{Name: "output", Value: "json", Usage: "json or table"},
 			&cli.StringFlag{Name: "program", Value: "bin/pimentospread", Usage: "the program of the hosts"},
 			&cli.StringFlag{Name: "dir", Required: true, Usage: "folder for settings, logs and diaries; a run's is kept when it fails"},
 		},
@@ -51,7 +52,7 @@
 		if err != nil {
 			return err
 		}
-		if err := json.NewEncoder(c.Root().Writer).Encode(o); err != nil {
+		if err := write(c, o); err != nil {
 			return err
 		}
 		if len(o.Violations) > 0 {
@@ -67,3 +68,10 @@
 	}
 	return nil
 }
+
+func write(c *cli.Command, o Outcome) error {
+	if c.String("output") == "table" {
+		return o.WriteTable(c.Root().Writer)
+	}
+	return json.NewEncoder(c.Root().Writer).Encode(o)
+}
--- a/standin/soak/judge.go
+++ b/standin/soak/judge.go
@@ -55,6 +55,8 @@
 	Requests   int            `json:"Requests"`
 	Faults     map[string]int `json:"Faults"`
 	Violations []string       `json:"Violations"`
+	// Broken counts the violations by promise.
+	Broken map[string]int `json:"Broken,omitempty"`
 }
 
 func newBook(seed uint64, timed bool) *book {
@@ -62,7 +64,7 @@
 	return &book{
 		timed: timed, start: now, calm: now, flows: map[netip.AddrPort]*target{}, services: map[netip.AddrPort]netip.AddrPort{},
 		leaving: map[*target]time.Time{}, crashed: map[*target]bool{}, routes: map[netip.AddrPort][]routed{},
-		runs: map[string]int{}, versions: map[string]uint64{}, outcome: Outcome{Seed: seed, Faults: map[string]int{}, Violations: []string{}},
+		runs: map[string]int{}, versions: map[string]uint64{}, outcome: Outcome{Seed: seed, Faults: map[string]int{}, Violations: []string{}, Broken: map[string]int{}},
 	}
 }
 
@@ -76,6 +78,7 @@
 func (b *book) violate(rule, format string, args ...any) {
 	text := fmt.Sprintf("%.3f s %s: ", time.Since(b.start).Seconds(), rule) + fmt.Sprintf(format, args...)
 	b.outcome.Violations = append(b.outcome.Violations, text)
+	b.outcome.Broken[rule]++
 }
 
 // isCalm reports whether no fault was active for the time before now.
--- a/standin/soak/process.go
+++ b/standin/soak/process.go
@@ -33,7 +33,11 @@
 type host struct {
 	number  int
 	address netip.Addr
+	// advertised is where the other hosts reach it.
+	advertised netip.Addr
+	// proxy carries its connections to the platform, peers those of other hosts to it.
 	proxy   *proxy
+	peers   *proxy
 	program string
 	dir     string
 	judge   *judge
@@ -50,6 +54,8 @@
 
 func (h *host) at(port int) string { return netip.AddrPortFrom(h.address, uint16(port)).String() }
 
+func (h *host) advertises() string { return netip.AddrPortFrom(h.advertised, peerPort).String() }
+
 // settings writes the settings file.
 func (h *host) settings(seeds []string) error {
 	list := []map[string]string{}
@@ -58,7 +64,7 @@
 	}
 	data, err := json.Marshal(map[string]any{
 		"Encapsulation": "token", "Host": fmt.Sprintf("h-%d", h.number), "FailureDomain": fmt.Sprintf("zone-%d", h.number%2),
-		"DataAddress": h.at(dataPort), "ReadyAddress": h.at(readyPort), "PeerAddress": h.at(peerPort), "AdminAddress": h.at(adminPort),
+		"DataAddress": h.at(dataPort), "ReadyAddress": h.at(readyPort), "PeerAddress": h.at(peerPort), "AdvertisedPeerAddress": h.advertises(), "AdminAddress": h.at(adminPort),
 		"PlatformURL": "http://" + h.proxy.listener.Addr().String(), "Seeds": list, "ShutdownGrace": graceTime.String(),
 	})
 	if err != nil {
--- a/standin/soak/proxy.go
+++ b/standin/soak/proxy.go
@@ -31,16 +31,17 @@
 	return []string{"passing", "delaying", "resetting", "silent", "one way"}[m]
 }
 
-// proxy carries the connections of one host to the platform.
+// proxy carries the connections of one host to the platform, or those of other
+// hosts to it.
 type proxy struct {
 	listener net.Listener
 	to       string
 	mode     atomic.Int32
 }
 
-func newProxy(ctx context.Context, to string) (*proxy, error) {
+func newProxy(ctx context.Context, address, to string) (*proxy, error) {
 	var config net.ListenConfig
-	l, err := config.Listen(ctx, "tcp4", "127.0.0.1:0")
+	l, err := config.Listen(ctx, "tcp4", address)
 	if err != nil {
 		return nil, err
 	}
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -36,6 +36,9 @@
 	Length  time.Duration
 	Hosts   int
 	Callers int
+	// Faults names the kinds of faults that may come. Empty means all; a seed gives
+	// the same faults only with the same kinds.
+	Faults []string
 	// Timed checks promises with a bound in time as well.
 	Timed bool
 	// Program is the pimentospread program, and Dir takes settings, logs and the diary.
@@ -140,15 +143,18 @@
 	}
 	r.group.Go("callers", r.callers.run)
 	for i := range r.config.Hosts {
-		p, err := newProxy(r.group.Context(), strings.TrimPrefix(r.store, "http://"))
-		if err != nil {
+		h := &host{number: i, address: r.address(0, byte(10+i)), advertised: r.address(3, byte(10+i)), program: r.config.Program, dir: r.config.Dir, judge: r.judge}
+		if h.proxy, err = newProxy(r.group.Context(), "127.0.0.1:0", strings.TrimPrefix(r.store, "http://")); err != nil {
 			return err
 		}
-		r.group.Go("proxy", p.run)
-		address := r.address(0, byte(10+i))
-		r.hosts = append(r.hosts, &host{number: i, address: address, proxy: p, program: r.config.Program, dir: r.config.Dir, judge: r.judge})
+		if h.peers, err = newProxy(r.group.Context(), h.advertises(), h.at(peerPort)); err != nil {
+			return err
+		}
+		r.group.Go("proxy", h.proxy.run)
+		r.group.Go("peer proxy", h.peers.run)
+		r.hosts = append(r.hosts, h)
 	}
-	seeds := []string{r.hosts[0].at(peerPort), r.hosts[len(r.hosts)-1].at(peerPort)}
+	seeds := []string{r.hosts[0].advertises(), r.hosts[len(r.hosts)-1].advertises()}
 	for _, h := range r.hosts {
 		if err := h.settings(seeds); err != nil {
 			return err
--- a/standin/soak/schedule.go
+++ b/standin/soak/schedule.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -30,6 +31,14 @@
 			return func() { r.admin(http.MethodPut, "/admin/faults", "{}") }
 		}
 	}
+	toPlatform := func(h *host) *proxy { return h.proxy }
+	toHost := func(h *host) *proxy { return h.peers }
+	one := func(which func(*host) *proxy) func(*run, *rand.Rand) func() {
+		return func(r *run, rng *rand.Rand) func() { return disturbLinks([]*host{r.anyHost(rng)}, which, rng) }
+	}
+	all := func(which func(*host) *proxy) func(*run, *rand.Rand) func() {
+		return func(r *run, rng *rand.Rand) func() { return disturbLinks(r.hosts, which, rng) }
+	}
 	return []fault{
 		{"kill", signal(syscall.SIGKILL, true)},
 		{"stop", signal(syscall.SIGTERM, true)},
@@ -39,22 +48,8 @@
 			h.pause(true)
 			return func() { h.pause(false) }
 		}},
-		{"link", func(r *run, rng *rand.Rand) func() {
-			h := r.anyHost(rng)
-			h.proxy.set(1 + mode(rng.IntN(int(modes)-1)))
-			return func() { h.proxy.set(passing) }
-		}},
-		{"links", func(r *run, rng *rand.Rand) func() {
-			m := 1 + mode(rng.IntN(int(modes)-1))
-			for _, h := range r.hosts {
-				h.proxy.set(m)
-			}
-			return func() {
-				for _, h := range r.hosts {
-					h.proxy.set(passing)
-				}
-			}
-		}},
+		{"link", one(toPlatform)},
+		{"links", all(toPlatform)},
 		{"outage", admin(`{"Outage":true}`)},
 		{"slow", admin(`{"Latency":"300ms"}`)},
 		{"deaf", admin(`{"DeafWatches":true}`)},
@@ -73,13 +68,33 @@
 			}
 			return nil
 		}},
+		{"peer link", one(toHost)},
+		{"peer links", all(toHost)},
+		{"late writes", admin(`{"LateWrites":3,"LateBy":"2s"}`)},
+		{"late events", admin(`{"Lag":"700ms"}`)},
+		{"few calls", admin(`{"ReadsPerSecond":3,"WritesPerSecond":1}`)},
+	}
+}
+
+// disturbLinks gives the links of the hosts one mode, and returns what ends it.
+func disturbLinks(hosts []*host, which func(*host) *proxy, rng *rand.Rand) func() {
+	m := 1 + mode(rng.IntN(int(modes)-1))
+	for _, h := range hosts {
+		which(h).set(m)
+	}
+	return func() {
+		for _, h := range hosts {
+			which(h).set(passing)
+		}
 	}
 }
 
 // disturb injects faults in an order that the seed gives until the time is up.
 // They overlap, and each ends by itself.
 func (r *run) disturb(ctx context.Context, rng *rand.Rand, length time.Duration) {
-	list := faults()
+	list := slices.DeleteFunc(faults(), func(f fault) bool {
+		return len(r.config.Faults) > 0 && !slices.Contains(r.config.Faults, f.name)
+	})
 	end := time.Now().Add(length)
 	// What ends a fault runs by itself: a change of the operator may be waiting
 	// for the end of an outage.
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -22,11 +22,20 @@
 	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
+	// The kinds of faults that were there when the seeds below them were found.
+	early := []string{
+		"kill", "stop", "reload", "pause", "link", "links", "outage", "slow", "deaf", "silence", "lost answers",
+		"compaction", "crash", "release", "configuration", "storm",
+	}
 	tests := map[string]soak.Config{
-		"many kinds of faults": {Seed: 7, Length: 8 * time.Second, Hosts: 4, Callers: 12},
+		"many kinds of faults": {Seed: 7, Length: 8 * time.Second, Hosts: 4, Callers: 12, Faults: early},
+		"a platform that is late and refuses calls": {
+			Seed: 3, Length: 6 * time.Second, Hosts: 4, Callers: 12,
+			Faults: []string{"late writes", "late events", "few calls", "kill", "configuration", "release"},
+		},
 		// A host that woke took a SYN and its copy in a row, doubted the target and
 		// opened the flow at a second one.
-		"copy behind its SYN after a pause": {Seed: 1185, Length: 3 * time.Second, Hosts: 5, Callers: 24},
+		"copy behind its SYN after a pause": {Seed: 1185, Length: 3 * time.Second, Hosts: 5, Callers: 24, Faults: early},
 	}
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
