Do not send the first list of a host as a change

Cause: a relay kept its first list of targets as a change that begins at revision 0. A follower that had listed at revision 10 got this change from a source that had listed at 12, and kept a target that was removed between the two, until it read the platform itself. Found by a test of digests over such lists. Change: the first list is not kept as a change; such a follower gets all targets. Test: TestTargetGoneBeforeTheFirstListOfTheSource; the follower kept the target before, and does not after.

--- a/feed/relay.go
+++ b/feed/relay.go
@@ -85,6 +85,9 @@
 func (r *Relay) Updated(u directory.Update) {
 	last := len(r.updates) - 1
 	switch {
+	case u.From == 0:
+		// The first list says nothing of targets that went before it.
+		r.updates = nil
 	case last >= 0 && r.updates[last].Revision != u.From:
 		r.updates = []directory.Update{u}
 	case last >= 0 && len(u.Present) == 0 && len(u.Removed) == 0:
--- a/feed/relay_test.go
+++ b/feed/relay_test.go
@@ -176,6 +176,22 @@
 	}
 }
 
+// Guards against a follower that lists the targets just before its source does,
+// and keeps a target that was removed between the two lists.
+func TestTargetGoneBeforeTheFirstListOfTheSource(t *testing.T) {
+	source, follower := newBook(), newBook()
+	kept := []pimentospread.Registration{registration(1, 1)}
+	follower.apply(start, directory.Update{Full: true, Revision: 10, Present: append(kept, registration(2, 1))})
+	source.apply(start, directory.Update{Full: true, Revision: 12, Present: kept})
+	m := &feed.Subscribe{Address: netip.MustParseAddrPort("127.0.0.1:1"), Position: follower.position()}
+	for _, u := range source.relay.Subscribe(start, "a-2", m, source.state(start))[0].Message.(*feed.News).Updates {
+		follower.apply(start, u)
+	}
+	if diff := cmp.Diff(source.directory.Snapshot(), follower.directory.Snapshot(), cmpopts.EquateComparable(netip.AddrPort{})); diff != "" {
+		t.Errorf("the follower's targets differ: %s", diff)
+	}
+}
+
 // Guards against subscriptions that last for ever, or without a bound.
 func TestSubscriptionsEnd(t *testing.T) {
 	b := newBook()
