Recognise equal targets by a digest when hosts start together

Cause: each write to the platform moves its one revision, so that hosts which start together list the same targets at different revisions. A source that has just started keeps no changes and sent such a follower all targets again. Change: a subscription carries a digest of the targets, kept up at each change; a source with the same digest sends the new revision alone. Test: TestEqualTargetsAreNotSent; 100 targets were sent where none differs.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -3,10 +3,14 @@
 package directory
 
 import (
+	"encoding/binary"
 	"maps"
 	"slices"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"pimentospread"
 )
 
@@ -35,11 +39,22 @@
 	order []pimentospread.RegistrationName
 	// graceUntil is the end of the time in which missing entries are kept.
 	graceUntil time.Time
+	// digest covers the entries that are not missing.
+	digest Digest
 }
 
+// Digest is a hash of a set of registrations that does not depend on their
+// order. It leaves out the warm-up, which changes with the time. The empty set
+// does not have zero, which a host sends that knows no digests.
+type Digest uint64
+
+// emptyDigest is the digest of no registration.
+const emptyDigest Digest = 1
+
 type entry struct {
 	registration pimentospread.Registration
 	token        pimentospread.Token
+	digest       Digest
 	warmUntil    time.Time
 	// missing says that the platform no longer has the entry, and that the grace still runs.
 	missing bool
@@ -90,6 +105,7 @@
 func New(c Config) *Directory {
 	return &Directory{
 		config:   c,
+		digest:   emptyDigest,
 		entries:  map[pimentospread.RegistrationName]entry{},
 		departed: map[pimentospread.Token]departed{},
 	}
@@ -98,6 +114,9 @@
 // Revision returns the revision of the platform that the directory is at. Zero means none yet.
 func (d *Directory) Revision() pimentospread.ObjectVersion { return d.revision }
 
+// Digest returns the digest of the registrations that the platform has.
+func (d *Directory) Digest() Digest { return d.digest }
+
 // Covers reports whether the update can be applied: it is full, or it begins at
 // or before the directory's revision.
 func (d *Directory) Covers(u Update) bool { return u.Full || u.From <= d.revision && d.revision > 0 }
@@ -161,7 +180,12 @@
 		return changes
 	}
 	token := r.Token()
-	d.entries[r.Name] = entry{registration: r, token: token, warmUntil: now.Add(r.Warmup)}
+	if known && !old.missing {
+		d.digest -= old.digest
+	}
+	e := entry{registration: r, token: token, digest: digestOf(r), warmUntil: now.Add(r.Warmup)}
+	d.digest += e.digest
+	d.entries[r.Name] = e
 	delete(d.departed, token)
 	if !known {
 		d.order = nil
@@ -200,12 +224,31 @@
 	}
 	if now.Before(d.graceUntil) && !e.registration.Draining {
 		e.missing = true
+		d.digest -= e.digest
 		d.entries[name] = e
 		return append(changes, Change{e.registration, Missing})
 	}
+	d.digest -= e.digest
 	return d.drop(changes, now, e.registration)
 }
 
+// digestOf returns the part of a registration in the digest.
+func digestOf(r pimentospread.Registration) Digest {
+	var room [192]byte
+	b := append(room[:0], r.Name...)
+	b = append(b, 0)
+	b = append(b, r.Service...)
+	b = append(b, 0)
+	b = append(b, r.FailureDomain...)
+	b = append(b, 0)
+	b = r.Address.AppendTo(b)
+	b = binary.BigEndian.AppendUint64(b, uint64(r.Instance))
+	b = binary.BigEndian.AppendUint64(b, uint64(r.Born))
+	b = binary.BigEndian.AppendUint32(b, uint32(r.Slots))
+	b = strconv.AppendBool(b, r.Draining)
+	return Digest(xxhash.Sum64(b))
+}
+
 func (d *Directory) drop(changes []Change, now time.Time, r pimentospread.Registration) []Change {
 	delete(d.entries, r.Name)
 	d.order = nil
--- a/feed/message.go
+++ b/feed/message.go
@@ -38,6 +38,8 @@
 type Subscribe struct {
 	Address  netip.AddrPort `msgpack:"Address"`
 	Position Position       `msgpack:"Position"`
+	// Digest covers the targets at the position. A host of an earlier release sends zero.
+	Digest directory.Digest `msgpack:"Digest"`
 	// Age is how long ago the subscriber's belief was known to be complete. One
 	// that is fresher than its source offers itself as a source.
 	Age time.Duration `msgpack:"Age"`
--- a/feed/relay.go
+++ b/feed/relay.go
@@ -39,7 +39,9 @@
 type subscriber struct {
 	address  netip.AddrPort
 	position Position
-	until    time.Time
+	// digest covers the targets at the position while the subscriber's word is the last one.
+	digest directory.Digest
+	until  time.Time
 }
 
 // State is what a relay passes on.
@@ -51,8 +53,8 @@
 	Path      []pimentospread.HostID
 }
 
-// position returns how far the state reaches.
-func (s State) position() Position {
+// Position returns how far the state reaches.
+func (s State) Position() Position {
 	return Position{Targets: s.Directory.Revision(), Configuration: s.Table.Version(), Peers: s.Peers.Revision}
 }
 
@@ -76,7 +78,7 @@
 		sub = &subscriber{}
 		r.subscribers[from] = sub
 	}
-	sub.address, sub.position, sub.until = m.Address, m.Position, now.Add(r.config.Lease)
+	*sub = subscriber{address: m.Address, position: m.Position, digest: m.Digest, until: now.Add(r.config.Lease)}
 	return []pimentospread.Outbound{r.news(now, from, sub, s)}
 }
 
@@ -151,9 +153,9 @@
 
 // news returns what the subscriber lacks.
 func (r *Relay) news(now time.Time, to pimentospread.HostID, sub *subscriber, s State) pimentospread.Outbound {
-	n := &News{Age: max(now.Sub(s.Confirmed), 0), Path: s.Path, Position: s.position()}
+	n := &News{Age: max(now.Sub(s.Confirmed), 0), Path: s.Path, Position: s.Position()}
 	if sub.position.Targets < n.Position.Targets {
-		n.Updates = r.updatesAfter(sub.position.Targets, s)
+		n.Updates = r.updatesAfter(sub.position.Targets, sub.digest, s)
 		n.Grace = s.Directory.Grace(now)
 	}
 	if sub.position.Configuration < n.Position.Configuration {
@@ -167,16 +169,24 @@
 		Configuration: max(sub.position.Configuration, n.Position.Configuration),
 		Peers:         max(sub.position.Peers, n.Position.Peers),
 	}
+	sub.digest = 0
 	return pimentospread.Outbound{To: to, Message: n}
 }
 
-// updatesAfter returns the changes after a revision, or all targets when some are missing.
-func (r *Relay) updatesAfter(revision pimentospread.ObjectVersion, s State) []directory.Update {
+// updatesAfter returns the changes after a revision, or all targets when some
+// changes are missing and the digest at the revision is another one. Each write to the platform moves
+// its revision, so that hosts which start together list equal targets at
+// different revisions.
+func (r *Relay) updatesAfter(revision pimentospread.ObjectVersion, digest directory.Digest, s State) []directory.Update {
 	first := slices.IndexFunc(r.updates, func(u directory.Update) bool { return u.Revision > revision })
-	if first < 0 || revision == 0 || r.updates[first].From > revision {
+	switch {
+	case first >= 0 && r.updates[first].From <= revision:
+		return slices.Clone(r.updates[first:])
+	case revision > 0 && digest == s.Directory.Digest():
+		return []directory.Update{{From: revision, Revision: s.Directory.Revision()}}
+	default:
 		return []directory.Update{s.Directory.Snapshot()}
 	}
-	return slices.Clone(r.updates[first:])
 }
 
 // routesAfter returns the changes after a version, or all routes when it is not kept.
--- a/feed/relay_test.go
+++ b/feed/relay_test.go
@@ -94,7 +94,7 @@
 		var version pimentospread.ConfigurationVersion
 		address := netip.MustParseAddrPort("127.0.0.1:1")
 		ask := func() {
-			m := &feed.Subscribe{Address: address, Position: to.position()}
+			m := &feed.Subscribe{Address: address, Position: to.position(), Digest: to.directory.Digest()}
 			for _, out := range from.relay.Subscribe(now, "a-2", m, from.state(now)) {
 				to.hear(t, now, out.Message)
 			}
@@ -192,6 +192,48 @@
 	}
 }
 
+// Guards against hosts that start together, list the targets at different
+// revisions of the platform, and get the whole list once more from their source.
+func TestEqualTargetsAreNotSent(t *testing.T) {
+	var all []pimentospread.Registration
+	for i := range 100 {
+		all = append(all, registration(i, 1))
+	}
+	tests := map[string]struct {
+		held []pimentospread.Registration
+		sent int
+	}{
+		"the same targets":              {all, 0},
+		"the same in another order":     {append(all[50:100:100], all[:50]...), 0},
+		"a target less":                 {all[1:], 100},
+		"another start of a target":     {append([]pimentospread.Registration{registration(0, 2)}, all[1:]...), 100},
+		"a target that was not removed": {append([]pimentospread.Registration{registration(500, 1)}, all...), 100},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			source, follower := newBook(), newBook()
+			source.apply(start, directory.Update{Full: true, Revision: 12, Present: all})
+			follower.apply(start, directory.Update{Full: true, Revision: 10, Present: tc.held})
+			m := &feed.Subscribe{Address: netip.MustParseAddrPort("127.0.0.1:1"), Position: follower.position(), Digest: follower.directory.Digest()}
+			news := source.relay.Subscribe(start, "a-2", m, source.state(start))[0].Message.(*feed.News)
+			sent := 0
+			for _, u := range news.Updates {
+				sent += len(u.Present)
+				follower.apply(start, u)
+			}
+			if sent != tc.sent {
+				t.Errorf("%d targets were sent, want %d", sent, tc.sent)
+			}
+			if got, want := follower.position(), source.position(); got != want {
+				t.Errorf("the follower is at %+v, want %+v", got, want)
+			}
+			if got, want := follower.directory.Digest(), source.directory.Digest(); got != want {
+				t.Errorf("the follower's targets have digest %x, want %x", got, want)
+			}
+		})
+	}
+}
+
 // Guards against subscriptions that last for ever, or without a bound.
 func TestSubscriptionsEnd(t *testing.T) {
 	b := newBook()
--- a/front/belief.go
+++ b/front/belief.go
@@ -269,7 +269,5 @@
 			b.hearConfiguration(c)
 		}
 	}
-	b.neighbors.hearNews(ctx, now, from, m, feed.Position{
-		Targets: b.directory.Revision(), Configuration: b.table.Version(), Peers: b.neighbors.peers.Revision,
-	})
+	b.neighbors.hearNews(ctx, now, from, m, b.state().Position(), b.directory.Digest())
 }
--- a/front/neighbors.go
+++ b/front/neighbors.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"pimentospread"
+	"pimentospread/directory"
 	"pimentospread/feed"
 	"pimentospread/ring"
 )
@@ -86,6 +87,8 @@
 	// linked are the hosts to which connections are kept.
 	linked   map[pimentospread.HostID]netip.AddrPort
 	position feed.Position
+	// digest covers the targets at the position.
+	digest directory.Digest
 	// subscribed and published are when the last subscription and news were sent.
 	subscribed time.Time
 	// answered says that the chosen peer has sent news.
@@ -178,8 +181,8 @@
 }
 
 // hearNews takes the age of the sender's belief, and the hosts. The position is
-// that of this host after the news.
-func (n *neighbors) hearNews(ctx context.Context, now time.Time, from pimentospread.HostID, m *feed.News, position feed.Position) {
+// that of this host after the news, and the digest that of its targets.
+func (n *neighbors) hearNews(ctx context.Context, now time.Time, from pimentospread.HostID, m *feed.News, position feed.Position, digest directory.Digest) {
 	n.answered = n.answered || from == n.selector.Choice().Peer
 	before := n.selector.Confirmed()
 	n.selector.Heard(now, from, m.Age, m.Path)
@@ -190,7 +193,7 @@
 		n.setPeers(ctx, now, feed.Peers{Revision: m.Position.Peers, Hosts: m.Peers})
 		position.Peers = n.peers.Revision
 	}
-	n.position = position
+	n.position, n.digest = position, digest
 	if from == n.selector.Choice().Peer && behind(position, m.Position) {
 		n.subscribe(ctx, now)
 	}
@@ -270,12 +273,12 @@
 }
 
 func (n *neighbors) subscription(now time.Time) *feed.Subscribe {
-	return &feed.Subscribe{Address: n.self.Address, Position: n.position, Age: max(now.Sub(n.selector.Confirmed()), 0)}
+	return &feed.Subscribe{Address: n.self.Address, Position: n.position, Digest: n.digest, Age: max(now.Sub(n.selector.Confirmed()), 0)}
 }
 
 // publish sends news to subscribers after a change, and now and then without one.
 func (n *neighbors) publish(ctx context.Context, now time.Time, changed bool, s feed.State) {
-	n.position = feed.Position{Targets: s.Directory.Revision(), Configuration: s.Table.Version(), Peers: n.peers.Revision}
+	n.position, n.digest = s.Position(), s.Directory.Digest()
 	fresher := s.Confirmed.Sub(n.told) >= newsStep
 	if n.stopping || !changed && !fresher && now.Sub(n.published) < newsInterval {
 		return
