Tell followers what changed by digest, and hosts as changes

Cause: a source sent a follower the net changes between two of its own revisions when the follower's revision lay between them. A target that came before and went after the follower's list is in no such change, and the follower kept it. Found by TestFollowerThatListsByItself, which compares each host with what the platform held at the host's revision. Lists of hosts were sent whole whenever the platform's revision had moved, changed or not. Change: a source keeps changes by the digest of the set before them, and a subscription carries the digests of targets and hosts; a follower takes changes only when nobody else told it of the set since they begin (Lineage). Hosts are an aggregate with changes of their own.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -40,21 +40,17 @@
 	// graceUntil is the end of the time in which missing entries are kept.
 	graceUntil time.Time
 	// digest covers the entries that are not missing.
-	digest Digest
+	digest pimentospread.Digest
 }
 
-// Digest is a hash of a set of registrations that does not depend on their
-// order. It leaves out the warm-up, which changes with the time. The empty set
-// does not have zero, which a host sends that knows no digests.
-type Digest uint64
-
-// emptyDigest is the digest of no registration.
-const emptyDigest Digest = 1
+// emptyDigest is the digest of no registration. It is not zero, which a host
+// sends that knows no digests.
+const emptyDigest pimentospread.Digest = 1
 
 type entry struct {
 	registration pimentospread.Registration
 	token        pimentospread.Token
-	digest       Digest
+	digest       pimentospread.Digest
 	warmUntil    time.Time
 	// missing says that the platform no longer has the entry, and that the grace still runs.
 	missing bool
@@ -115,21 +111,22 @@
 func (d *Directory) Revision() pimentospread.ObjectVersion { return d.revision }
 
 // Digest returns the digest of the registrations that the platform has.
-func (d *Directory) Digest() Digest { return d.digest }
+func (d *Directory) Digest() pimentospread.Digest { return d.digest }
 
 // Covers reports whether the update can be applied: it is full, or it begins at
 // or before the directory's revision.
 func (d *Directory) Covers(u Update) bool { return u.Full || u.From <= d.revision && d.revision > 0 }
 
-// Delta returns the changes as an update that leads from one revision to another.
-func Delta(from, to pimentospread.ObjectVersion, changes []Change) Update {
-	u := Update{From: from, Revision: to}
-	for _, c := range changes {
-		if c.What == Missing || c.What == Gone {
-			u.Removed = append(u.Removed, c.Registration.Name)
-			continue
+// Between returns what became of the names as an update from an earlier
+// revision of another host.
+func (d *Directory) Between(from pimentospread.ObjectVersion, names []pimentospread.RegistrationName) Update {
+	u := Update{From: from, Revision: d.revision}
+	for _, name := range names {
+		if e, ok := d.entries[name]; ok && !e.missing {
+			u.Present = append(u.Present, e.registration)
+		} else {
+			u.Removed = append(u.Removed, name)
 		}
-		u.Present = append(u.Present, c.Registration)
 	}
 	return u
 }
@@ -232,8 +229,9 @@
 	return d.drop(changes, now, e.registration)
 }
 
-// digestOf returns the part of a registration in the digest.
-func digestOf(r pimentospread.Registration) Digest {
+// digestOf returns the part of a registration in the digest. It leaves out the
+// warm-up, which changes with the time.
+func digestOf(r pimentospread.Registration) pimentospread.Digest {
 	var room [192]byte
 	b := append(room[:0], r.Name...)
 	b = append(b, 0)
@@ -246,7 +244,7 @@
 	b = binary.BigEndian.AppendUint64(b, uint64(r.Born))
 	b = binary.BigEndian.AppendUint32(b, uint32(r.Slots))
 	b = strconv.AppendBool(b, r.Draining)
-	return Digest(xxhash.Sum64(b))
+	return pimentospread.Digest(xxhash.Sum64(b))
 }
 
 func (d *Directory) drop(changes []Change, now time.Time, r pimentospread.Registration) []Change {
--- a/feed/bench_test.go
+++ b/feed/bench_test.go
@@ -24,7 +24,7 @@
 				all = append(all, registration(i, 1))
 			}
 			k.apply(start, directory.Update{Full: true, Revision: 10, Present: all})
-			m := &feed.Subscribe{Address: netip.MustParseAddrPort("127.0.0.1:1"), Position: feed.Position{Targets: 10}}
+			m := &feed.Subscribe{Address: netip.MustParseAddrPort("127.0.0.1:1"), Position: feed.Position{Targets: 10}, TargetsDigest: k.directory.Digest()}
 			if changed == targets {
 				m.Position.Targets = 0
 			}
--- a/feed/message.go
+++ b/feed/message.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"slices"
 	"time"
 
 	"pimentospread"
@@ -38,8 +37,10 @@
 type Subscribe struct {
 	Address  netip.AddrPort `msgpack:"Address"`
 	Position Position       `msgpack:"Position"`
-	// Digest covers the targets at the position. A host of an earlier release sends zero.
-	Digest directory.Digest `msgpack:"Digest"`
+	// TargetsDigest and PeersDigest cover the targets and the hosts at the
+	// position. A host of an earlier release sends zero.
+	TargetsDigest pimentospread.Digest `msgpack:"TargetsDigest"`
+	PeersDigest   pimentospread.Digest `msgpack:"PeersDigest"`
 	// Age is how long ago the subscriber's belief was known to be complete. One
 	// that is fresher than its source offers itself as a source.
 	Age time.Duration `msgpack:"Age"`
@@ -72,8 +73,8 @@
 	// Grace is how much longer targets are kept that are missing after the platform was away.
 	Grace  time.Duration  `msgpack:"Grace"`
 	Routes *routing.Delta `msgpack:"Routes"`
-	// Peers holds all hosts when they changed.
-	Peers []Peer `msgpack:"Peers"`
+	// Peers is what changed among the hosts.
+	Peers *PeersUpdate `msgpack:"Peers"`
 	// Leaves says that the sender is about to stop.
 	Leaves bool `msgpack:"Leaves"`
 }
@@ -86,32 +87,13 @@
 	if m.Age < 0 || m.Grace < 0 {
 		return pimentospread.At(pimentospread.ErrInvalid.New("news of age %s with a grace of %s", m.Age, m.Grace), "decode", "")
 	}
-	for _, p := range m.Peers {
+	if m.Peers == nil {
+		return nil
+	}
+	for _, p := range m.Peers.Present {
 		if p.Host == "" || !p.Address.IsValid() {
 			return pimentospread.At(pimentospread.ErrInvalid.New("peer %q has no address", p.Host), "decode", "")
 		}
 	}
 	return nil
 }
-
-// Peer is a host of the system as it registered itself with the platform.
-type Peer struct {
-	Host          pimentospread.HostID        `msgpack:"Host"`
-	FailureDomain pimentospread.FailureDomain `msgpack:"FailureDomain"`
-	Address       netip.AddrPort              `msgpack:"Address"`
-}
-
-// Peers is the set of hosts at one revision of the platform.
-type Peers struct {
-	Revision pimentospread.ObjectVersion
-	Hosts    []Peer
-}
-
-// Find returns the peer of the given name.
-func (p Peers) Find(host pimentospread.HostID) (Peer, bool) {
-	i := slices.IndexFunc(p.Hosts, func(x Peer) bool { return x.Host == host })
-	if i < 0 {
-		return Peer{}, false
-	}
-	return p.Hosts[i], true
-}
--- /dev/null
+++ b/feed/peers.go
@@ -0,0 +1,150 @@
+package feed
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"pimentospread"
+)
+
+// Peer is a host of the system as it registered itself with the platform.
+type Peer struct {
+	Host          pimentospread.HostID        `msgpack:"Host"`
+	FailureDomain pimentospread.FailureDomain `msgpack:"FailureDomain"`
+	Address       netip.AddrPort              `msgpack:"Address"`
+}
+
+// PeersUpdate is all hosts, or what changed among them after a revision.
+type PeersUpdate struct {
+	Full     bool                        `msgpack:"Full"`
+	From     pimentospread.ObjectVersion `msgpack:"From"`
+	Revision pimentospread.ObjectVersion `msgpack:"Revision"`
+	// Present holds new and changed hosts.
+	Present []Peer                 `msgpack:"Present"`
+	Removed []pimentospread.HostID `msgpack:"Removed"`
+}
+
+// Peers is the set of hosts at one revision of the platform. It never goes back
+// to an earlier one. The zero value knows no host.
+type Peers struct {
+	revision pimentospread.ObjectVersion
+	digest   pimentospread.Digest
+	// all holds the hosts in the order of their names. It is not changed in place.
+	all []Peer
+}
+
+// Revision returns the revision of the platform that the set is at. Zero means none yet.
+func (p *Peers) Revision() pimentospread.ObjectVersion { return p.revision }
+
+// Digest returns the digest of the hosts. That of no host is not zero.
+func (p *Peers) Digest() pimentospread.Digest { return p.digest + 1 }
+
+// All returns the hosts in the order of their names.
+func (p *Peers) All() []Peer { return p.all }
+
+// Find returns the host of the given name.
+func (p *Peers) Find(host pimentospread.HostID) (Peer, bool) {
+	i, ok := p.place(host)
+	if !ok {
+		return Peer{}, false
+	}
+	return p.all[i], true
+}
+
+func (p *Peers) place(host pimentospread.HostID) (int, bool) {
+	return slices.BinarySearchFunc(p.all, host, func(x Peer, id pimentospread.HostID) int {
+		return strings.Compare(string(x.Host), string(id))
+	})
+}
+
+// Apply takes an update and returns the hosts that changed, and whether it was
+// taken. An update that is older than the set or leaves a gap is not taken.
+func (p *Peers) Apply(u PeersUpdate) (changed []pimentospread.HostID, taken bool) {
+	if u.Revision < p.revision || !u.Full && (p.revision == 0 || u.From > p.revision) {
+		return nil, false
+	}
+	before := p.all
+	p.revision, p.all = u.Revision, merged(p.all, u)
+	return p.account(before), true
+}
+
+// account brings the digest up to date and returns the hosts that changed.
+func (p *Peers) account(before []Peer) []pimentospread.HostID {
+	held := make(map[pimentospread.HostID]Peer, len(before))
+	for _, x := range before {
+		held[x.Host] = x
+	}
+	var changed []pimentospread.HostID
+	for _, x := range p.all {
+		old, known := held[x.Host]
+		delete(held, x.Host)
+		if known && old == x {
+			continue
+		}
+		if known {
+			p.digest -= old.digest()
+		}
+		p.digest += x.digest()
+		changed = append(changed, x.Host)
+	}
+	for id, old := range held {
+		p.digest -= old.digest()
+		changed = append(changed, id)
+	}
+	return changed
+}
+
+func (x Peer) digest() pimentospread.Digest {
+	var room [128]byte
+	b := append(room[:0], x.Host...)
+	b = append(b, 0)
+	b = append(b, x.FailureDomain...)
+	b = append(b, 0)
+	return pimentospread.Digest(xxhash.Sum64(x.Address.AppendTo(b)))
+}
+
+// Snapshot returns the hosts as a full update.
+func (p *Peers) Snapshot() PeersUpdate {
+	return PeersUpdate{Full: true, Revision: p.revision, Present: p.all}
+}
+
+// Between returns what became of the hosts as an update from an earlier revision
+// of another host.
+func (p *Peers) Between(from pimentospread.ObjectVersion, hosts []pimentospread.HostID) PeersUpdate {
+	u := PeersUpdate{From: from, Revision: p.revision}
+	for _, id := range hosts {
+		if x, ok := p.Find(id); ok {
+			u.Present = append(u.Present, x)
+		} else {
+			u.Removed = append(u.Removed, id)
+		}
+	}
+	return u
+}
+
+// merged returns the hosts after an update.
+func merged(all []Peer, u PeersUpdate) []Peer {
+	held := map[pimentospread.HostID]Peer{}
+	if !u.Full {
+		for _, x := range all {
+			held[x.Host] = x
+		}
+	}
+	for _, x := range u.Present {
+		held[x.Host] = x
+	}
+	for _, id := range u.Removed {
+		delete(held, id)
+	}
+	next := make([]Peer, 0, len(held))
+	for _, x := range held {
+		next = append(next, x)
+	}
+	slices.SortFunc(next, byName)
+	return next
+}
+
+func byName(a, b Peer) int { return strings.Compare(string(a.Host), string(b.Host)) }
--- a/feed/relay.go
+++ b/feed/relay.go
@@ -12,9 +12,6 @@
 )
 
 const (
-	// keptUpdates bounds the changes of targets that are kept for subscribers
-	// that missed some. One that missed more gets all targets.
-	keptUpdates = 64
 	// keptConfigurations bounds the earlier configurations from which changes are worked out.
 	keptConfigurations = 4
 	// maxSubscribers bounds what a host sends. It is above the hosts of a failure
@@ -32,30 +29,31 @@
 type Relay struct {
 	config         RelayConfig
 	subscribers    map[pimentospread.HostID]*subscriber
-	updates        []directory.Update
+	targets        changeLog[pimentospread.RegistrationName]
+	peers          changeLog[pimentospread.HostID]
 	configurations []pimentospread.Configuration
 }
 
 type subscriber struct {
 	address  netip.AddrPort
 	position Position
-	// digest covers the targets at the position while the subscriber's word is the last one.
-	digest directory.Digest
-	until  time.Time
+	// targets and peers are what it holds at the position.
+	targets, peers mark
+	until          time.Time
 }
 
 // State is what a relay passes on.
 type State struct {
 	Directory *directory.Directory
 	Table     *routing.Table
-	Peers     Peers
+	Peers     *Peers
 	Confirmed time.Time
 	Path      []pimentospread.HostID
 }
 
 // Position returns how far the state reaches.
 func (s State) Position() Position {
-	return Position{Targets: s.Directory.Revision(), Configuration: s.Table.Version(), Peers: s.Peers.Revision}
+	return Position{Targets: s.Directory.Revision(), Configuration: s.Table.Version(), Peers: s.Peers.Revision()}
 }
 
 // NewRelay returns a relay without subscribers.
@@ -78,27 +76,31 @@
 		sub = &subscriber{}
 		r.subscribers[from] = sub
 	}
-	*sub = subscriber{address: m.Address, position: m.Position, digest: m.Digest, until: now.Add(r.config.Lease)}
+	*sub = subscriber{
+		address: m.Address, position: m.Position, until: now.Add(r.config.Lease),
+		targets: r.targets.find(s.Directory.Digest(), m.TargetsDigest),
+		peers:   r.peers.find(s.Peers.Digest(), m.PeersDigest),
+	}
 	return []pimentospread.Outbound{r.news(now, from, sub, s)}
 }
 
 // Updated keeps a change of targets, so that subscribers get the change alone.
-// Changes follow each other without a gap.
-func (r *Relay) Updated(u directory.Update) {
-	last := len(r.updates) - 1
-	switch {
-	case u.From == 0:
-		// The first list says nothing of targets that went before it.
-		r.updates = nil
-	case last >= 0 && r.updates[last].Revision != u.From:
-		r.updates = []directory.Update{u}
-	case last >= 0 && len(u.Present) == 0 && len(u.Removed) == 0:
-		r.updates[last].Revision = u.Revision
-	default:
-		r.updates = append(r.updates, u)
+// The digest is that of the targets before it.
+func (r *Relay) Updated(before pimentospread.Digest, changes []directory.Change) {
+	if len(changes) == 0 {
+		return
+	}
+	names := make([]pimentospread.RegistrationName, len(changes))
+	for i, c := range changes {
+		names[i] = c.Registration.Name
 	}
-	if len(r.updates) > keptUpdates {
-		r.updates = slices.Delete(r.updates, 0, len(r.updates)-keptUpdates)
+	r.targets.add(before, names)
+}
+
+// PeersUpdated keeps a change of hosts. The digest is that of the hosts before it.
+func (r *Relay) PeersUpdated(before pimentospread.Digest, hosts []pimentospread.HostID) {
+	if len(hosts) > 0 {
+		r.peers.add(before, hosts)
 	}
 }
 
@@ -155,38 +157,43 @@
 func (r *Relay) news(now time.Time, to pimentospread.HostID, sub *subscriber, s State) pimentospread.Outbound {
 	n := &News{Age: max(now.Sub(s.Confirmed), 0), Path: s.Path, Position: s.Position()}
 	if sub.position.Targets < n.Position.Targets {
-		n.Updates = r.updatesAfter(sub.position.Targets, sub.digest, s)
+		n.Updates = []directory.Update{r.targetsAfter(sub, s)}
 		n.Grace = s.Directory.Grace(now)
+		sub.targets = r.targets.newest()
 	}
 	if sub.position.Configuration < n.Position.Configuration {
 		n.Routes = r.routesAfter(sub.position.Configuration, s)
 	}
 	if sub.position.Peers < n.Position.Peers {
-		n.Peers = s.Peers.Hosts
+		u := r.peersAfter(sub, s)
+		n.Peers = &u
+		sub.peers = r.peers.newest()
 	}
 	sub.position = Position{
 		Targets:       max(sub.position.Targets, n.Position.Targets),
 		Configuration: max(sub.position.Configuration, n.Position.Configuration),
 		Peers:         max(sub.position.Peers, n.Position.Peers),
 	}
-	sub.digest = 0
 	return pimentospread.Outbound{To: to, Message: n}
 }
 
-// updatesAfter returns the changes after a revision, or all targets when some
-// changes are missing and the digest at the revision is another one. Each write to the platform moves
-// its revision, so that hosts which start together list equal targets at
-// different revisions.
-func (r *Relay) updatesAfter(revision pimentospread.ObjectVersion, digest directory.Digest, s State) []directory.Update {
-	first := slices.IndexFunc(r.updates, func(u directory.Update) bool { return u.Revision > revision })
-	switch {
-	case first >= 0 && r.updates[first].From <= revision:
-		return slices.Clone(r.updates[first:])
-	case revision > 0 && digest == s.Directory.Digest():
-		return []directory.Update{{From: revision, Revision: s.Directory.Revision()}}
-	default:
-		return []directory.Update{s.Directory.Snapshot()}
+// targetsAfter returns the changes that the subscriber lacks, or all targets when
+// it is not known what it holds.
+func (r *Relay) targetsAfter(sub *subscriber, s State) directory.Update {
+	names, ok := r.targets.after(sub.targets)
+	if !ok || sub.position.Targets == 0 {
+		return s.Directory.Snapshot()
+	}
+	return s.Directory.Between(sub.position.Targets, names)
+}
+
+// peersAfter returns the changes that the subscriber lacks, or all hosts.
+func (r *Relay) peersAfter(sub *subscriber, s State) PeersUpdate {
+	hosts, ok := r.peers.after(sub.peers)
+	if !ok || sub.position.Peers == 0 {
+		return s.Peers.Snapshot()
 	}
+	return s.Peers.Between(sub.position.Peers, hosts)
 }
 
 // routesAfter returns the changes after a version, or all routes when it is not kept.
--- a/feed/relay_test.go
+++ b/feed/relay_test.go
@@ -23,6 +23,8 @@
 	table     *routing.Table
 	relay     *feed.Relay
 	peers     feed.Peers
+	// targets and hosts say from whom the targets and the hosts were heard.
+	targets, hosts feed.Lineage
 }
 
 func newBook() *book {
@@ -34,10 +36,15 @@
 }
 
 func (b *book) apply(now time.Time, u directory.Update) {
-	from := b.directory.Revision()
-	changes := b.directory.Apply(now, u)
-	if to := b.directory.Revision(); to > from {
-		b.relay.Updated(directory.Delta(from, to, changes))
+	before := b.directory.Digest()
+	b.relay.Updated(before, b.directory.Apply(now, u))
+}
+
+// subscription is what the host asks of its source.
+func (b *book) subscription() *feed.Subscribe {
+	return &feed.Subscribe{
+		Address: netip.MustParseAddrPort("127.0.0.1:1"), Position: b.position(),
+		TargetsDigest: b.directory.Digest(), PeersDigest: b.peers.Digest(),
 	}
 }
 
@@ -48,11 +55,11 @@
 }
 
 func (b *book) state(confirmed time.Time) feed.State {
-	return feed.State{Directory: b.directory, Table: b.table, Peers: b.peers, Confirmed: confirmed}
+	return feed.State{Directory: b.directory, Table: b.table, Peers: &b.peers, Confirmed: confirmed}
 }
 
 func (b *book) position() feed.Position {
-	return feed.Position{Targets: b.directory.Revision(), Configuration: b.table.Version(), Peers: b.peers.Revision}
+	return feed.Position{Targets: b.directory.Revision(), Configuration: b.table.Version(), Peers: b.peers.Revision()}
 }
 
 // hear takes news as they arrive over the wire.
@@ -68,7 +75,9 @@
 	news := in.Message.(*feed.News)
 	b.directory.KeepMissing(now, news.Grace)
 	for _, u := range news.Updates {
-		b.apply(now, u)
+		if b.targets.Take("a-1", u.Full, u.From, b.directory.Revision()) {
+			b.apply(now, u)
+		}
 	}
 	if news.Routes != nil {
 		if c, ok := news.Routes.Apply(b.table.Configuration()); ok {
@@ -92,10 +101,8 @@
 		now := start
 		var revision pimentospread.ObjectVersion
 		var version pimentospread.ConfigurationVersion
-		address := netip.MustParseAddrPort("127.0.0.1:1")
 		ask := func() {
-			m := &feed.Subscribe{Address: address, Position: to.position(), Digest: to.directory.Digest()}
-			for _, out := range from.relay.Subscribe(now, "a-2", m, from.state(now)) {
+			for _, out := range from.relay.Subscribe(now, "a-2", to.subscription(), from.state(now)) {
 				to.hear(t, now, out.Message)
 			}
 		}
@@ -154,6 +161,102 @@
 	})
 }
 
+// Guards against a follower that reads the platform now and then, at revisions at
+// which its source never stood, and keeps a target that came and went between
+// two revisions of the source.
+func TestFollowerThatListsByItself(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		source, follower := newBook(), newBook()
+		// The platform's present entries, and the revision of the last change of each name.
+		present := map[int]int{}
+		touched := map[int]pimentospread.ObjectVersion{}
+		revision := pimentospread.ObjectVersion(1)
+		list := func() directory.Update {
+			u := directory.Update{Full: true, Revision: revision}
+			for i := range 5 {
+				if born, ok := present[i]; ok {
+					u.Present = append(u.Present, registration(i, born))
+				}
+			}
+			return u
+		}
+		watch := func(from pimentospread.ObjectVersion) directory.Update {
+			u := directory.Update{From: from, Revision: revision}
+			for i := range 5 {
+				born, ok := present[i]
+				switch {
+				case touched[i] <= from:
+				case ok:
+					u.Present = append(u.Present, registration(i, born))
+				default:
+					u.Removed = append(u.Removed, registration(i, 1).Name)
+				}
+			}
+			return u
+		}
+		read := func(b *book) {
+			if held := b.directory.Revision(); held > 0 && rapid.Bool().Draw(t, "watch") {
+				b.apply(start, watch(held))
+			} else {
+				b.apply(start, list())
+			}
+			b.targets.Read(b.directory.Revision())
+		}
+		hear := func(out []pimentospread.Outbound, delivered bool) {
+			for _, o := range out {
+				if delivered {
+					follower.hear(t, start, o.Message)
+				}
+			}
+		}
+		// Every host holds what the platform held at the host's revision.
+		history := map[pimentospread.ObjectVersion]directory.Update{revision: list()}
+		options := cmp.Options{cmpopts.EquateComparable(netip.AddrPort{}), cmpopts.EquateEmpty()}
+		check := func(what string, b *book) {
+			if held := b.directory.Revision(); held > 0 {
+				if diff := cmp.Diff(history[held], b.directory.Snapshot(), options); diff != "" {
+					t.Fatalf("targets of the %s at revision %d: %s", what, held, diff)
+				}
+			}
+		}
+		read(source)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			case 0, 1:
+				revision++
+				i := rapid.IntRange(0, 4).Draw(t, "target")
+				touched[i] = revision
+				if _, ok := present[i]; ok && rapid.Bool().Draw(t, "removed") {
+					delete(present, i)
+				} else {
+					present[i] = rapid.IntRange(1, 2).Draw(t, "born")
+				}
+				history[revision] = list()
+			case 2:
+				read(source)
+			case 3:
+				read(follower)
+			case 4:
+				out := source.relay.Publish(start, source.state(start))
+				if rapid.Bool().Draw(t, "asks") {
+					out = source.relay.Subscribe(start, "a-2", follower.subscription(), source.state(start))
+				}
+				hear(out, rapid.Bool().Draw(t, "delivered"))
+			}
+			check("source", source)
+			check("follower", follower)
+		}
+		revision++
+		history[revision] = list()
+		read(source)
+		hear(source.relay.Subscribe(start, "a-2", follower.subscription(), source.state(start)), true)
+		check("follower", follower)
+		if got := follower.directory.Revision(); got != revision {
+			t.Fatalf("the follower is at revision %d, want %d", got, revision)
+		}
+	})
+}
+
 // Guards against a change that costs a subscriber the whole list.
 func TestChangesAreSentAlone(t *testing.T) {
 	b := newBook()
@@ -183,8 +286,7 @@
 	kept := []pimentospread.Registration{registration(1, 1)}
 	follower.apply(start, directory.Update{Full: true, Revision: 10, Present: append(kept, registration(2, 1))})
 	source.apply(start, directory.Update{Full: true, Revision: 12, Present: kept})
-	m := &feed.Subscribe{Address: netip.MustParseAddrPort("127.0.0.1:1"), Position: follower.position()}
-	for _, u := range source.relay.Subscribe(start, "a-2", m, source.state(start))[0].Message.(*feed.News).Updates {
+	for _, u := range source.relay.Subscribe(start, "a-2", follower.subscription(), source.state(start))[0].Message.(*feed.News).Updates {
 		follower.apply(start, u)
 	}
 	if diff := cmp.Diff(source.directory.Snapshot(), follower.directory.Snapshot(), cmpopts.EquateComparable(netip.AddrPort{})); diff != "" {
@@ -214,8 +316,7 @@
 			source, follower := newBook(), newBook()
 			source.apply(start, directory.Update{Full: true, Revision: 12, Present: all})
 			follower.apply(start, directory.Update{Full: true, Revision: 10, Present: tc.held})
-			m := &feed.Subscribe{Address: netip.MustParseAddrPort("127.0.0.1:1"), Position: follower.position(), Digest: follower.directory.Digest()}
-			news := source.relay.Subscribe(start, "a-2", m, source.state(start))[0].Message.(*feed.News)
+			news := source.relay.Subscribe(start, "a-2", follower.subscription(), source.state(start))[0].Message.(*feed.News)
 			sent := 0
 			for _, u := range news.Updates {
 				sent += len(u.Present)
--- a/front/belief.go
+++ b/front/belief.go
@@ -50,6 +50,8 @@
 	domain    pimentospread.FailureDomain
 	table     *routing.Table
 	directory *directory.Directory
+	// lineage says from whom the targets were heard.
+	lineage   feed.Lineage
 	contacts  map[pimentospread.ObjectKind]*contactState
 	neighbors *neighbors
 	// ready says that the host knows enough to take packets.
@@ -111,7 +113,7 @@
 	case targetsHeard:
 		b.hearTargets(e)
 	case hostsHeard:
-		b.neighbors.hearHosts(ctx, b.clock.Now(), e)
+		b.neighbors.hearHosts(ctx, b.clock.Now(), e.update)
 	case message:
 		b.hearMessage(ctx, e.inbound)
 	case leaving:
@@ -170,17 +172,16 @@
 		b.directory.PlatformReturned(now)
 	}
 	b.apply(now, e.update)
+	b.lineage.Read(b.directory.Revision())
 	for _, u := range e.unreadable {
 		b.log.Warn("registration is not readable and names no target", "target", u.name, "revision", e.update.Revision, "error", u.reason)
 	}
 }
 
 func (b *belief) apply(now time.Time, u directory.Update) {
-	from := b.directory.Revision()
+	before := b.directory.Digest()
 	changes := b.directory.Apply(now, u)
-	if to := b.directory.Revision(); to > from {
-		b.neighbors.relay.Updated(directory.Delta(from, to, changes))
-	}
+	b.neighbors.relay.Updated(before, changes)
 	b.tell(changes)
 }
 
@@ -222,7 +223,7 @@
 	_ = b.views.Put(ctx, b.view)
 	b.summary.Store(&summary{
 		version: b.view.Version, revision: b.view.Revision, targets: b.view.Targets(), confirmed: confirmed,
-		source: b.neighbors.selector.Choice(), hosts: len(b.neighbors.peers.Hosts), followers: len(b.neighbors.relay.Subscribers()),
+		source: b.neighbors.selector.Choice(), hosts: len(b.neighbors.peers.All()), followers: len(b.neighbors.relay.Subscribers()),
 	})
 	if v := b.view; v.Version > 0 && v.Revision > 0 && !b.ready.Swap(true) {
 		b.log.Info("host ready", "configuration", v.Version, "revision", v.Revision, "targets", v.Targets())
@@ -232,7 +233,7 @@
 // state is what subscribers may hear.
 func (b *belief) state() feed.State {
 	return feed.State{
-		Directory: b.directory, Table: b.table, Peers: b.neighbors.peers,
+		Directory: b.directory, Table: b.table, Peers: &b.neighbors.peers,
 		Confirmed: b.neighbors.selector.Confirmed(), Path: b.neighbors.path,
 	}
 }
@@ -262,12 +263,14 @@
 	}
 	b.directory.KeepMissing(now, m.Grace)
 	for _, u := range m.Updates {
-		b.apply(now, u)
+		if b.lineage.Take(from, u.Full, u.From, b.directory.Revision()) {
+			b.apply(now, u)
+		}
 	}
 	if m.Routes != nil {
 		if c, ok := m.Routes.Apply(b.table.Configuration()); ok {
 			b.hearConfiguration(c)
 		}
 	}
-	b.neighbors.hearNews(ctx, now, from, m, b.state().Position(), b.directory.Digest())
+	b.neighbors.hearNews(ctx, now, from, m, b.state())
 }
--- a/front/events.go
+++ b/front/events.go
@@ -39,12 +39,7 @@
 }
 
 // hostsHeard is an update of the hosts of the system.
-type hostsHeard struct {
-	full     bool
-	revision pimentospread.ObjectVersion
-	present  []feed.Peer
-	removed  []pimentospread.HostID
-}
+type hostsHeard struct{ update feed.PeersUpdate }
 
 // message is what another host sent.
 type message struct{ inbound pimentospread.Inbound }
--- a/front/neighbors.go
+++ b/front/neighbors.go
@@ -6,12 +6,9 @@
 	"maps"
 	"math/rand/v2"
 	"net/netip"
-	"slices"
-	"strings"
 	"time"
 
 	"pimentospread"
-	"pimentospread/directory"
 	"pimentospread/feed"
 	"pimentospread/ring"
 )
@@ -79,6 +76,8 @@
 	// seeds are the addresses of hosts whose names are not known.
 	seeds map[pimentospread.HostID]netip.AddrPort
 	peers feed.Peers
+	// lineage says from whom the hosts were heard.
+	lineage feed.Lineage
 	// path names the hosts over which the belief was last confirmed. It is empty
 	// when the platform itself confirmed it.
 	path []pimentospread.HostID
@@ -88,7 +87,7 @@
 	linked   map[pimentospread.HostID]netip.AddrPort
 	position feed.Position
 	// digest covers the targets at the position.
-	digest directory.Digest
+	digest pimentospread.Digest
 	// subscribed and published are when the last subscription and news were sent.
 	subscribed time.Time
 	// answered says that the chosen peer has sent news.
@@ -129,43 +128,28 @@
 }
 
 // hearHosts takes an update of the hosts from the platform.
-func (n *neighbors) hearHosts(ctx context.Context, now time.Time, e hostsHeard) {
-	held := map[pimentospread.HostID]feed.Peer{}
-	if !e.full {
-		for _, p := range n.peers.Hosts {
-			held[p.Host] = p
-		}
-	}
-	for _, p := range e.present {
-		held[p.Host] = p
-	}
-	for _, id := range e.removed {
-		delete(held, id)
-	}
-	if e.revision < n.peers.Revision {
-		return
-	}
-	hosts := make([]feed.Peer, 0, len(held))
-	for _, p := range held {
-		hosts = append(hosts, p)
-	}
-	n.setPeers(ctx, now, feed.Peers{Revision: e.revision, Hosts: hosts})
+func (n *neighbors) hearHosts(ctx context.Context, now time.Time, u feed.PeersUpdate) {
+	n.takeHosts(ctx, now, u)
+	n.lineage.Read(n.peers.Revision())
 }
 
-// setPeers takes the hosts. A list without this host shows that its entry was
-// removed, unless the host has just started.
-func (n *neighbors) setPeers(ctx context.Context, now time.Time, p feed.Peers) {
-	if self, ok := p.Find(n.self.Host); (!ok || self != n.self) && !n.stopping && now.Sub(n.started) >= settleTime {
+// takeHosts takes an update of the hosts. A list without this host shows that
+// its entry was removed, unless the host has just started.
+func (n *neighbors) takeHosts(ctx context.Context, now time.Time, u feed.PeersUpdate) {
+	before := n.peers.Digest()
+	changed, taken := n.peers.Apply(u)
+	if !taken {
+		return
+	}
+	n.relay.PeersUpdated(before, changed)
+	if self, ok := n.peers.Find(n.self.Host); (!ok || self != n.self) && !n.stopping && now.Sub(n.started) >= settleTime {
 		_ = n.missing.Put(ctx, struct{}{})
 	}
-	slices.SortFunc(p.Hosts, func(a, b feed.Peer) int { return strings.Compare(string(a.Host), string(b.Host)) })
-	changed := !slices.Equal(n.peers.Hosts, p.Hosts)
-	n.peers = p
-	if !changed {
+	if len(changed) == 0 {
 		return
 	}
-	n.selector.SetPeers(p.Hosts)
-	n.log.Info("hosts changed", "hosts", len(p.Hosts), "revision", p.Revision, "relay", n.selector.Relay())
+	n.selector.SetPeers(n.peers.All())
+	n.log.Info("hosts changed", "hosts", len(n.peers.All()), "revision", n.peers.Revision(), "relay", n.selector.Relay())
 }
 
 // hearSubscribe takes the subscription of another host and answers it.
@@ -180,21 +164,20 @@
 	n.send(ctx, answers)
 }
 
-// hearNews takes the age of the sender's belief, and the hosts. The position is
-// that of this host after the news, and the digest that of its targets.
-func (n *neighbors) hearNews(ctx context.Context, now time.Time, from pimentospread.HostID, m *feed.News, position feed.Position, digest directory.Digest) {
+// hearNews takes the age of the sender's belief, and the hosts. The state is that
+// of this host after the news.
+func (n *neighbors) hearNews(ctx context.Context, now time.Time, from pimentospread.HostID, m *feed.News, s feed.State) {
 	n.answered = n.answered || from == n.selector.Choice().Peer
 	before := n.selector.Confirmed()
 	n.selector.Heard(now, from, m.Age, m.Path)
 	if n.selector.Confirmed().After(before) {
 		n.path = append([]pimentospread.HostID{from}, m.Path...)
 	}
-	if m.Peers != nil && m.Position.Peers > n.peers.Revision {
-		n.setPeers(ctx, now, feed.Peers{Revision: m.Position.Peers, Hosts: m.Peers})
-		position.Peers = n.peers.Revision
+	if u := m.Peers; u != nil && n.lineage.Take(from, u.Full, u.From, n.peers.Revision()) {
+		n.takeHosts(ctx, now, *u)
 	}
-	n.position, n.digest = position, digest
-	if from == n.selector.Choice().Peer && behind(position, m.Position) {
+	n.position, n.digest = s.Position(), s.Directory.Digest()
+	if from == n.selector.Choice().Peer && behind(n.position, m.Position) {
 		n.subscribe(ctx, now)
 	}
 	n.decide(ctx, now)
@@ -273,7 +256,9 @@
 }
 
 func (n *neighbors) subscription(now time.Time) *feed.Subscribe {
-	return &feed.Subscribe{Address: n.self.Address, Position: n.position, Digest: n.digest, Age: max(now.Sub(n.selector.Confirmed()), 0)}
+	p := n.position
+	p.Peers = n.peers.Revision()
+	return &feed.Subscribe{Address: n.self.Address, Position: p, TargetsDigest: n.digest, PeersDigest: n.peers.Digest(), Age: max(now.Sub(n.selector.Confirmed()), 0)}
 }
 
 // publish sends news to subscribers after a change, and now and then without one.
@@ -322,7 +307,7 @@
 		clear(n.heard)
 		return
 	}
-	for _, p := range n.peers.Hosts {
+	for _, p := range n.peers.All() {
 		if p.Host == n.self.Host || p.FailureDomain != n.self.FailureDomain {
 			continue
 		}
--- a/front/neighbors_test.go
+++ b/front/neighbors_test.go
@@ -40,7 +40,7 @@
 			relay:    feed.NewRelay(feed.RelayConfig{Lease: time.Second}),
 			heard:    map[pimentospread.HostID]time.Time{},
 		}
-		n.setPeers(t.Context(), start, feed.Peers{Revision: 1, Hosts: peers})
+		n.hearHosts(t.Context(), start, feed.PeersUpdate{Full: true, Revision: 1, Present: peers})
 		alive := peers[0].Host
 		if self.Host == alive {
 			alive = peers[1].Host
--- a/front/registrar.go
+++ b/front/registrar.go
@@ -106,17 +106,17 @@
 }
 
 // translateHosts turns objects into an update of the hosts.
-func translateHosts(full bool, _, revision pimentospread.ObjectVersion, changes []pimentospread.Change) (event, error) {
-	e := hostsHeard{full: full, revision: revision}
+func translateHosts(full bool, from, revision pimentospread.ObjectVersion, changes []pimentospread.Change) (event, error) {
+	u := feed.PeersUpdate{Full: full, From: from, Revision: revision}
 	for _, c := range changes {
 		var entry hostEntry
 		if c.Deleted || json.Unmarshal(c.Value, &entry) != nil || !entry.PeerAddress.IsValid() {
-			e.removed = append(e.removed, pimentospread.HostID(c.Name))
+			u.Removed = append(u.Removed, pimentospread.HostID(c.Name))
 			continue
 		}
-		e.present = append(e.present, feed.Peer{
+		u.Present = append(u.Present, feed.Peer{
 			Host: pimentospread.HostID(c.Name), FailureDomain: entry.FailureDomain, Address: entry.PeerAddress,
 		})
 	}
-	return e, nil
+	return hostsHeard{u}, nil
 }
--- a/ids.go
+++ b/ids.go
@@ -105,6 +105,9 @@
 // AttemptID identifies one transmission of a request to a target. It is the CoAP token of that exchange.
 type AttemptID uint64
 
+// Digest is a hash of a set that does not depend on the order of its members.
+type Digest uint64
+
 // FlowID identifies a flow by the hash of its key.
 type FlowID uint64
 
