Ask seeds once, with growing pauses

Cause: a host that starts before the first configuration is there asked all seeds each 50 ms, and each question was a subscription of 3.5 s. At a common start of 102 hosts the seeds sent every change of 1,002 registering targets to all hosts. A source that did not answer was asked each 50 ms as well. Change: a question to a seed is answered and subscribes to nothing; questions that are not answered follow each other after 0.05 s, 0.1 s and so on up to 1 s.

--- a/feed/message.go
+++ b/feed/message.go
@@ -44,6 +44,8 @@
 	// Age is how long ago the subscriber's belief was known to be complete. One
 	// that is fresher than its source offers itself as a source.
 	Age time.Duration `msgpack:"Age"`
+	// Once asks for an answer alone.
+	Once bool `msgpack:"Once"`
 	// Leaves ends the subscription.
 	Leaves bool `msgpack:"Leaves"`
 }
--- a/feed/relay.go
+++ b/feed/relay.go
@@ -40,6 +40,9 @@
 	// targets and peers are what it holds at the position.
 	targets, peers mark
 	until          time.Time
+	// once says that it asked for an answer alone. Its link is kept so that the
+	// answer arrives.
+	once bool
 }
 
 // State is what a relay passes on.
@@ -77,7 +80,7 @@
 		r.subscribers[from] = sub
 	}
 	*sub = subscriber{
-		address: m.Address, position: m.Position, until: now.Add(r.config.Lease),
+		once: m.Once && (!known || sub.once), address: m.Address, position: m.Position, until: now.Add(r.config.Lease),
 		targets: r.targets.find(s.Directory.Digest(), m.TargetsDigest),
 		peers:   r.peers.find(s.Peers.Digest(), m.PeersDigest),
 	}
@@ -121,6 +124,9 @@
 			delete(r.subscribers, id)
 			continue
 		}
+		if sub.once {
+			continue
+		}
 		out = append(out, r.news(now, id, sub, s))
 	}
 	return out
--- a/feed/relay_test.go
+++ b/feed/relay_test.go
@@ -335,6 +335,30 @@
 	}
 }
 
+// Guards against a seed that sends each change to every host of the system
+// because all of them asked it once at their start.
+func TestHostThatAsksOnceGetsNoNews(t *testing.T) {
+	b := newBook()
+	b.apply(start, directory.Update{Full: true, Revision: 10, Present: []pimentospread.Registration{registration(1, 1)}})
+	once := &feed.Subscribe{Address: netip.MustParseAddrPort("127.0.0.1:1"), Once: true}
+	if news := b.relay.Subscribe(start, "a-2", once, b.state(start)); len(news) != 1 || len(news[0].Message.(*feed.News).Updates) != 1 {
+		t.Errorf("the answer is %+v, want all targets", news)
+	}
+	b.relay.Subscribe(start, "a-3", &feed.Subscribe{Address: netip.MustParseAddrPort("127.0.0.1:2")}, b.state(start))
+	b.relay.Subscribe(start, "a-3", once, b.state(start))
+	b.apply(start, directory.Update{From: 10, Revision: 11, Present: []pimentospread.Registration{registration(2, 1)}})
+	var told []pimentospread.HostID
+	for _, out := range b.relay.Publish(start, b.state(start)) {
+		told = append(told, out.To)
+	}
+	if diff := cmp.Diff([]pimentospread.HostID{"a-3"}, told); diff != "" {
+		t.Errorf("hosts that got news: %s", diff)
+	}
+	if n := len(b.relay.Subscribers()); n != 2 {
+		t.Errorf("%d hosts are linked, want 2, so that the answer arrives", n)
+	}
+}
+
 // Guards against subscriptions that last for ever, or without a bound.
 func TestSubscriptionsEnd(t *testing.T) {
 	b := newBook()
--- a/front/neighbors.go
+++ b/front/neighbors.go
@@ -91,8 +91,10 @@
 	// subscribed and published are when the last subscription and news were sent.
 	subscribed time.Time
 	// answered says that the chosen peer has sent news.
-	answered  bool
-	published time.Time
+	answered bool
+	// unanswered and bootstraps space what is repeated.
+	unanswered, bootstraps retries
+	published              time.Time
 	// told is the time up to which subscribers were told that they know all.
 	told    time.Time
 	started time.Time
@@ -198,16 +200,38 @@
 	if n.position.Targets > 0 && n.position.Configuration > 0 || now.Sub(n.started) < seedDelay {
 		return
 	}
+	if !n.bootstraps.due(now) {
+		return
+	}
 	for id := range n.seeds {
-		n.send(ctx, []pimentospread.Outbound{{To: id, Message: n.subscription(now)}})
+		m := n.subscription(now)
+		m.Once = true
+		n.send(ctx, []pimentospread.Outbound{{To: id, Message: m}})
+	}
+}
+
+// retries spaces messages that are repeated until they are answered. The first
+// ones follow each other quickly, since the link to the peer may not be there yet.
+type retries struct {
+	next  time.Time
+	pause time.Duration
+}
+
+// due reports whether to send now.
+func (r *retries) due(now time.Time) bool {
+	if now.Before(r.next) {
+		return false
 	}
+	r.pause = min(max(2*r.pause, firstRetry), subscribeInterval)
+	r.next = now.Add(r.pause)
+	return true
 }
 
 // tick renews subscriptions and changes the source when it is stale.
 func (n *neighbors) tick(ctx context.Context, now time.Time) {
 	n.decide(ctx, now)
 	// The first subscription may be lost while the connection is not yet there.
-	if !n.answered || now.Sub(n.subscribed) >= subscribeInterval {
+	if !n.answered && n.unanswered.due(now) || now.Sub(n.subscribed) >= subscribeInterval {
 		n.subscribe(ctx, now)
 	}
 	if n.selector.Probe(now) != "" {
@@ -241,7 +265,7 @@
 	if before.Peer != "" {
 		n.send(ctx, []pimentospread.Outbound{{To: before.Peer, Message: &feed.Subscribe{Address: n.self.Address, Leaves: true}}})
 	}
-	n.answered = false
+	n.answered, n.unanswered = false, retries{}
 	n.link(ctx, now)
 	n.subscribe(ctx, now)
 }
--- a/front/neighbors_test.go
+++ b/front/neighbors_test.go
@@ -21,6 +21,48 @@
 
 func (silentNetwork) Send(context.Context, pimentospread.Outbound) error { return nil }
 
+// countingNetwork counts the messages to each peer and delivers none.
+type countingNetwork struct {
+	silentNetwork
+	sent map[pimentospread.HostID]int
+}
+
+func (n countingNetwork) Send(_ context.Context, m pimentospread.Outbound) error {
+	n.sent[m.To]++
+	return nil
+}
+
+// Guards against hosts that ask seeds and sources which do not answer 20 times a
+// second each, as all hosts of a system did at a common start.
+func TestUnansweredQuestionsAreSpaced(t *testing.T) {
+	start := time.Unix(1_700_000_000, 0)
+	network := countingNetwork{sent: map[pimentospread.HostID]int{}}
+	self := feed.Peer{Host: "h-2", FailureDomain: "near", Address: loopback(2)}
+	n := &neighbors{
+		self: self, log: slog.New(slog.DiscardHandler), network: network, started: start,
+		seeds:   map[pimentospread.HostID]netip.AddrPort{"seed 1": loopback(1)},
+		missing: ring.New[struct{}](1, ring.DropOldest), remove: ring.New[pimentospread.HostID](8, ring.Refuse),
+		selector: feed.NewSelector(start, feed.SelectorConfig{Self: self.Host, Domain: "near", Silence: time.Hour}),
+		relay:    feed.NewRelay(feed.RelayConfig{Lease: time.Second}), heard: map[pimentospread.HostID]time.Time{},
+	}
+	n.hearHosts(t.Context(), start, feed.PeersUpdate{Full: true, Revision: 1, Present: []feed.Peer{
+		{Host: "h-1", FailureDomain: "near", Address: loopback(1)}, {Host: "h-3", FailureDomain: "near", Address: loopback(3)}, self,
+	}})
+	for d := time.Duration(0); d <= 5*time.Second; d += startInterval {
+		n.tick(t.Context(), start.Add(d))
+	}
+	// 0.05, 0.15, 0.35 and 0.75 s after the first one, and then each second.
+	const most = 12
+	for id, count := range network.sent {
+		if count > most {
+			t.Errorf("%d messages to %s in 5 s, want %d at most", count, id, most)
+		}
+	}
+	if network.sent["seed 1"] < 4 {
+		t.Errorf("%d messages to the seed in 5 s, want some", network.sent["seed 1"])
+	}
+}
+
 // Guards against entries in the platform of hosts that are gone, and against
 // the removal of those of hosts that live.
 func TestEntriesOfLostHostsAreRemoved(t *testing.T) {
