Reset flows of a target that crashed

Change: data that a caller sends again on a flow are answered by a reset when the target's registration lapsed without a drain and nothing was heard of it since. Ruled out: a reset before the registration lapses. A busy target leaves a request of one packet unacknowledged for longer than the caller's 0.2 s, so that silence alone does not tell a crash. A target that drained, that others hear from, or that is missing after an outage of the platform keeps its flows. Test: TestFlowsOfALostTargetAreReset, forwarded before.

--- a/steer/packet.go
+++ b/steer/packet.go
@@ -58,6 +58,7 @@
 	CauseToken        Cause = "token"
 	CauseRepeated     Cause = "repeated"
 	CauseDeparted     Cause = "departed_target"
+	CauseLostTarget   Cause = "lost_target"
 	CauseRank         Cause = "rank"
 	CauseCopy         Cause = "copy"
 	CauseTrial        Cause = "trial"
@@ -67,7 +68,6 @@
 	CauseNoTarget     Cause = "no_target"
 	CauseUnknownToken Cause = "unknown_token"
 	CauseNoBelief     Cause = "no_configuration"
-	CauseStale        Cause = "stale_configuration"
 )
 
 // Action is what to do with a packet.
--- a/steer/steerer.go
+++ b/steer/steerer.go
@@ -173,6 +173,8 @@
 		s.repeated(now, t, signal.Sent)
 	}
 	switch {
+	case signal.Repeated && s.lost(t):
+		return Action{Kind: Reset, Cause: CauseLostTarget}
 	case t.Departed:
 		return forward(t, CauseDeparted)
 	case signal.Repeated:
@@ -181,3 +183,10 @@
 		return forward(t, CauseToken)
 	}
 }
+
+// lost reports whether a target that has left what was sent to it unanswered is
+// gone for good. A target that drained serves its flows after its registration
+// has gone; one that others hear from lives, whatever the platform says.
+func (s *Steerer) lost(t *directory.Target) bool {
+	return t.Departed && !t.Registration.Draining && s.doubts.Target(t.Token).Doubted()
+}
--- a/steer/steerer_test.go
+++ b/steer/steerer_test.go
@@ -229,6 +229,52 @@
 	}
 }
 
+// Guards against callers that wait until their deadline on flows of a target that
+// crashed, and against resets of flows whose target may live.
+func TestFlowsOfALostTargetAreReset(t *testing.T) {
+	a, b := registration("i-1", near), registration("i-2", near)
+	drained := a
+	drained.Draining = true
+	tests := map[string]struct {
+		// leave is what the host hears after the request was sent.
+		leave func(w *world, now time.Time)
+		// answered says that another caller hears from the target after the request was sent.
+		answered bool
+		kind     steer.Kind
+		cause    steer.Cause
+	}{
+		"its registration lapsed":   {func(w *world, now time.Time) { w.register(now, b) }, false, steer.Reset, steer.CauseLostTarget},
+		"its registration is there": {func(*world, time.Time) {}, false, steer.Forward, steer.CauseRepeated},
+		"it drained before it went": {func(w *world, now time.Time) { w.register(now, drained, b); w.register(now, b) }, false, steer.Forward, steer.CauseDeparted},
+		"it answers others":         {func(w *world, now time.Time) { w.register(now, b) }, true, steer.Forward, steer.CauseDeparted},
+		"it lapsed while the platform was away": {
+			func(w *world, now time.Time) { w.directory.PlatformReturned(now); w.register(now, b) }, false, steer.Forward, steer.CauseRepeated,
+		},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld()
+			w.configure(1, toDesk())
+			w.register(start, a, b)
+			request := steer.Packet{Key: key(1), Token: a.Token(), Sequence: 1, Ack: 1, Length: 100}
+			if got := w.steerer.Steer(start, request); got.Kind != steer.Forward || got.Target != a.Token() {
+				t.Fatalf("the request goes to %+v", got)
+			}
+			now := start.Add(10 * time.Millisecond)
+			if tc.answered {
+				other := steer.Packet{Key: key(2), Token: a.Token(), Sequence: 1, Ack: 1, Length: 10}
+				w.steerer.Steer(now, other)
+				other.Sequence, other.Ack, other.Length = 11, 50, 0
+				w.steerer.Steer(now.Add(time.Millisecond), other)
+			}
+			tc.leave(w, now)
+			if got := w.steerer.Steer(start.Add(silence), request); got.Kind != tc.kind || got.Cause != tc.cause {
+				t.Errorf("the repeated request: %s for %s, want %s for %s", got.Kind, got.Cause, tc.kind, tc.cause)
+			}
+		})
+	}
+}
+
 // Guards against a second target for a flow whose SYN and copy waited at a host
 // that was paused (soak, seed 1185).
 func TestCopyRightBehindItsSYN(t *testing.T) {
