Do not ask hosts for whole lists while the platform sends its own

A list takes longer than the 0.15 s after which a host asks the seeds, and a host that knew its source asked it as well, so that every start drew lists of 3,000 targets from seeds and sources. Change: a host that knows no targets asks no other host while the platform answers it, for 3 s at most. Test: TestUnansweredQuestionsAreSpaced has a platform that answers other calls: no question in the first second, and questions when the list never comes.

--- a/front/belief.go
+++ b/front/belief.go
@@ -139,6 +139,7 @@
 			b.log.Info("platform back", "kind", e.kind, "away", e.at.Sub(c.last))
 		}
 		c.last, c.lost = e.at, false
+		b.neighbors.platformHeard = e.at
 		b.confirm(ctx)
 	}
 }
--- a/front/neighbors.go
+++ b/front/neighbors.go
@@ -31,6 +31,9 @@
 	trySpread = 200 * time.Millisecond
 	// seedDelay is the time after the start in which a sound platform has answered.
 	seedDelay = 150 * time.Millisecond
+	// listPatience is how long a starting host waits for the platform's own list
+	// while the platform answers other calls: two tries.
+	listPatience = 2 * listTimeout
 	// avoidTime spares a source that was lost. A restart takes seconds.
 	avoidTime    = 10 * time.Second
 	longestAvoid = 2 * time.Minute
@@ -98,6 +101,8 @@
 	// told is the time up to which subscribers were told that they know all.
 	told    time.Time
 	started time.Time
+	// platformHeard is when the platform last answered any call.
+	platformHeard time.Time
 	// stopping says that the host no longer takes part.
 	stopping bool
 }
@@ -194,10 +199,10 @@
 	n.decide(ctx, now)
 }
 
-// bootstrap asks the seeds for news while the host knows nothing and the
-// platform has not answered either.
+// bootstrap asks the seeds for news while the host knows too little and the
+// platform does not answer.
 func (n *neighbors) bootstrap(ctx context.Context, now time.Time) {
-	if n.position.Targets > 0 && n.position.Configuration > 0 || now.Sub(n.started) < seedDelay {
+	if n.position.Targets > 0 && n.position.Configuration > 0 || now.Sub(n.started) < seedDelay || n.listing(now) {
 		return
 	}
 	if !n.bootstraps.due(now) {
@@ -270,9 +275,15 @@
 	n.subscribe(ctx, now)
 }
 
+// listing reports whether the platform is about to tell the host the targets. A
+// whole list from another host then loads its link for nothing.
+func (n *neighbors) listing(now time.Time) bool {
+	return n.position.Targets == 0 && now.Sub(n.platformHeard) < listTimeout && now.Sub(n.started) < listPatience
+}
+
 func (n *neighbors) subscribe(ctx context.Context, now time.Time) {
 	peer := n.selector.Choice().Peer
-	if peer == "" || n.stopping {
+	if peer == "" || n.stopping || n.listing(now) {
 		return
 	}
 	n.subscribed = now
--- a/front/neighbors_test.go
+++ b/front/neighbors_test.go
@@ -33,7 +33,8 @@
 }
 
 // Guards against hosts that ask seeds and sources which do not answer 20 times a
-// second each, as all hosts of a system did at a common start.
+// second each, and against whole lists from other hosts while the platform sends
+// its own: all hosts of a system did so at a common start.
 func TestUnansweredQuestionsAreSpaced(t *testing.T) {
 	start := time.Unix(1_700_000_000, 0)
 	network := countingNetwork{sent: map[pimentospread.HostID]int{}}
@@ -48,7 +49,17 @@
 	n.hearHosts(t.Context(), start, feed.PeersUpdate{Full: true, Revision: 1, Present: []feed.Peer{
 		{Host: "h-1", FailureDomain: "near", Address: loopback(1)}, {Host: "h-3", FailureDomain: "near", Address: loopback(3)}, self,
 	}})
-	for d := time.Duration(0); d <= 5*time.Second; d += startInterval {
+	// The platform answers a first call, and the list of targets takes a while.
+	n.platformHeard = start
+	for d := time.Duration(0); d < time.Second; d += startInterval {
+		n.tick(t.Context(), start.Add(d))
+	}
+	if len(network.sent) > 0 {
+		t.Errorf("messages while the platform answers: %v", network.sent)
+	}
+	// The list never comes, though the platform goes on answering other calls.
+	for d := listPatience; d <= listPatience+5*time.Second; d += startInterval {
+		n.platformHeard = start.Add(d)
 		n.tick(t.Context(), start.Add(d))
 	}
 	// 0.05, 0.15, 0.35 and 0.75 s after the first one, and then each second.
