--- a/front/counters.go
+++ b/front/counters.go
@@ -9,6 +9,14 @@
 	"pimentospread/steer"
 )
 
+const (
+	// maxNamedTargets and maxNamedDomains bound the metrics of a host, which may
+	// know 130,000 targets. What is beyond them is counted as otherLabel.
+	maxNamedTargets = 200
+	maxNamedDomains = 64
+	otherLabel      = "other"
+)
+
 // counters count what the steering duty does. They belong to that duty.
 type counters struct {
 	metrics                   pimentospread.Metrics
@@ -17,6 +25,28 @@
 	// decided is the time of decisions, for the flows of the log's sample.
 	decided pimentospread.Histogram
 	actions map[actionKey]pimentospread.Counter
+	// byTarget and byDomain count the new flows.
+	byTarget, byDomain labelled
+}
+
+// labelled is a counter with a bounded number of values of one label.
+type labelled struct {
+	format string
+	most   int
+	values map[string]pimentospread.Counter
+}
+
+// of returns the counter of the value, or that of all others once there are too many.
+func (l *labelled) of(m pimentospread.Metrics, value string) pimentospread.Counter {
+	if c, ok := l.values[value]; ok {
+		return c
+	}
+	if len(l.values) >= l.most {
+		return m.Counter(fmt.Sprintf(l.format, otherLabel))
+	}
+	c := m.Counter(fmt.Sprintf(l.format, value))
+	l.values[value] = c
+	return c
 }
 
 type actionKey struct {
@@ -32,6 +62,8 @@
 		doubts:        m.Counter("pimentospread_doubts_total"),
 		decided:       m.Histogram("pimentospread_decision_seconds"),
 		actions:       map[actionKey]pimentospread.Counter{},
+		byTarget:      labelled{"pimentospread_target_flows_total{target=%q}", maxNamedTargets, map[string]pimentospread.Counter{}},
+		byDomain:      labelled{"pimentospread_domain_flows_total{target_domain=%q}", maxNamedDomains, map[string]pimentospread.Counter{}},
 	}
 }
 
@@ -43,6 +75,10 @@
 		c.actions[key] = counter
 	}
 	counter.Add(1)
+	if a.Opens() {
+		c.byTarget.of(c.metrics, string(a.Name)).Add(1)
+		c.byDomain.of(c.metrics, string(a.Domain)).Add(1)
+	}
 }
 
 func (c *counters) malformed(err error) {
--- a/steer/packet.go
+++ b/steer/packet.go
@@ -77,6 +77,13 @@
 	// Target is set for Forward.
 	Target   pimentospread.Token
 	Name     pimentospread.RegistrationName
+	Domain   pimentospread.FailureDomain
 	Instance pimentospread.InstanceID
 	Address  netip.AddrPort
 }
+
+// Opens reports whether the action gives a new flow to a target. A copy of a SYN
+// that follows the first one does not.
+func (a Action) Opens() bool {
+	return a.Kind == Forward && (a.Cause == CauseRank || a.Cause == CauseTrial || a.Cause == CauseAllDoubted)
+}
--- a/steer/steerer.go
+++ b/steer/steerer.go
@@ -129,7 +129,7 @@
 	r := &t.Registration
 	return Action{
 		Kind: Forward, Cause: cause, Target: t.Token,
-		Name: r.Name, Instance: r.Instance, Address: r.Address,
+		Name: r.Name, Domain: r.FailureDomain, Instance: r.Instance, Address: r.Address,
 	}
 }
 
