Log the usual decisions of all flows while they are few

Change: a host logs the usual decisions of all flows up to 60 lines a second and of fewer flows above, down to one in FlowLogShare; shares are powers of two, so that a flow kept by a busy host is kept by the others.

--- a/front/front.go
+++ b/front/front.go
@@ -177,7 +177,7 @@
 	f.steering = &steering{
 		socket: f.sockets.data, clock: f.clock, views: views, log: f.log,
 		steerer: newSteerer(s), counters: newCounters(f.metrics),
-		callerPort: f.sockets.data.Address().Port(), logShare: pimentospread.FlowID(s.FlowLogShare),
+		callerPort: f.sockets.data.Address().Port(), sample: newFlowSample(pimentospread.FlowID(s.FlowLogShare)),
 		settings: ring.New[settings.Settings](1, ring.DropOldest), started: f.clock.Now(),
 	}
 	f.network = peer.NewNetwork(peer.Deps{
--- a/front/steering.go
+++ b/front/steering.go
@@ -30,8 +30,8 @@
 	log      *slog.Logger
 	// callerPort is the port of callers to which resets go.
 	callerPort uint16
-	// logShare is the number of flows of which one is logged.
-	logShare pimentospread.FlowID
+	// sample says of which flows usual decisions are logged.
+	sample flowSample
 	// settings carries changed settings.
 	settings *ring.Ring[settings.Settings]
 	// started is the start of the host. lastPacket is the time from then to the
@@ -69,7 +69,7 @@
 	case v := <-s.views.Items():
 		s.steerer.SetView(v)
 	case n := <-s.settings.Items():
-		s.logShare = pimentospread.FlowID(n.FlowLogShare)
+		s.sample = newFlowSample(pimentospread.FlowID(n.FlowLogShare))
 		s.steerer.SetWeights(weights(n))
 	default:
 	}
@@ -84,7 +84,7 @@
 		return
 	}
 	a := s.steerer.Steer(now, p)
-	if p.Key.ID()%s.logShare == 0 {
+	if p.Key.ID()%s.sample.most == 0 {
 		s.counters.decided.Update(s.clock.Now().Sub(now).Seconds())
 	}
 	s.counters.action(a)
@@ -106,12 +106,11 @@
 }
 
 // note logs the decisions that explain what became of a flow: the opening, the
-// requests and the end of each flow of the sample, and every unusual one. The
-// sample is the same on every host, so all lines of a flow are kept or none.
+// requests and the end of each flow of the sample, and every unusual one.
 func (s *steering) note(now time.Time, p steer.Packet, a steer.Action) {
 	usual := a.Kind == steer.Forward && (a.Cause == steer.CauseToken || a.Cause == steer.CauseRank) && p.Copy == 0
-	sampled := (p.Opens || p.Ends || p.Resets || p.Length > 0) && p.Key.ID()%s.logShare == 0
-	if usual && !sampled {
+	tells := p.Opens || p.Ends || p.Resets || p.Length > 0
+	if usual && (!tells || !s.sample.take(now, p.Key.ID())) {
 		return
 	}
 	attributes := []slog.Attr{
