--- a/front/sample.go
+++ b/front/sample.go
@@ -7,10 +7,10 @@
 	"pimentospread"
 )
 
-// usualLines is the number of lines a second for usual decisions. They leave the
-// larger part of the log's 200 lines a second to unusual ones, and cost 0.2% of
-// a core at 27.5 us a line.
-const usualLines = 60
+// usualLines is the number of lines a second for usual decisions. Lines make the
+// heap of a calm host grow until it is first collected: 60 a second doubled the
+// memory of a host within a minute.
+const usualLines = 10
 
 // flowSample says of which flows usual decisions are logged. It keeps one flow
 // in share, the same ones on every host with that share. The share follows the
--- a/front/sample_test.go
+++ b/front/sample_test.go
@@ -15,8 +15,8 @@
 		least, most int // lines of the last second
 		share       pimentospread.FlowID
 	}{
-		"few flows are all logged":                {50, 50, 50, 1},
-		"more flows are logged in part":           {600, 20, 2 * usualLines, 16},
+		"few flows are all logged":                {8, 8, 8, 1},
+		"more flows are logged in part":           {100, 3, 2 * usualLines, 16},
 		"many flows at the share of the settings": {100_000, 1500, 1700, 64},
 	}
 	for name, tc := range tests {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -75,7 +75,7 @@
 	RemoteCost float64 `json:"RemoteCost"`
 	// ColdSpeed is the speed of a target that is warming up, where a warm one has 1 (ratio).
 	ColdSpeed pimentospread.Ratio `json:"ColdSpeed"`
-	// FlowLogShare is the number of flows of which a busy host logs one from its first to its last decision (count, rounded down to a power of 2). A host with up to 60 usual decisions a second logs all of them; unusual decisions are logged always, up to 200 lines a second.
+	// FlowLogShare is the number of flows of which a busy host logs one from its first to its last decision (count, rounded down to a power of 2). A host with up to 10 usual decisions a second logs all of them; unusual decisions are logged always, up to 200 lines a second.
 	FlowLogShare int `json:"FlowLogShare"`
 	// MemoryLimitMB is the memory that the process may use (MB). Zero means no limit.
 	MemoryLimitMB float64 `json:"MemoryLimitMB"`
