--- a/feed/bench_test.go
+++ b/feed/bench_test.go
@@ -45,3 +45,37 @@
 		})
 	}
 }
+
+// Measures what one new host among the hosts of two years costs: taking the
+// change, and the news for one follower.
+func BenchmarkHostChange(b *testing.B) {
+	const hosts = 13_000
+	var all []feed.Peer
+	for i := range hosts {
+		all = append(all, host(i, 1))
+	}
+	b.Run("take", func(b *testing.B) {
+		k := newBook()
+		k.hearPeers(feed.PeersUpdate{Full: true, Revision: 10, Present: all})
+		revision := pimentospread.ObjectVersion(10)
+		for b.Loop() {
+			k.hearPeers(feed.PeersUpdate{From: revision, Revision: revision + 1, Present: []feed.Peer{host(int(revision)%hosts, int(revision))}})
+			revision++
+		}
+	})
+	b.Run("news", func(b *testing.B) {
+		k := newBook()
+		k.hearPeers(feed.PeersUpdate{Full: true, Revision: 10, Present: all})
+		m := k.subscription()
+		k.hearPeers(feed.PeersUpdate{From: 10, Revision: 11, Present: []feed.Peer{host(hosts, 1)}})
+		size := 0
+		for b.Loop() {
+			frame, err := peer.Encode("a-1", 1, k.relay.Subscribe(start, "a-2", m, k.state(start))[0].Message)
+			if err != nil {
+				b.Fatal(err)
+			}
+			size = len(frame)
+		}
+		b.ReportMetric(float64(size), "B/news")
+	})
+}
--- a/feed/peers.go
+++ b/feed/peers.go
@@ -66,33 +66,58 @@
 	if u.Revision < p.revision || !u.Full && (p.revision == 0 || u.From > p.revision) {
 		return nil, false
 	}
-	before := p.all
-	p.revision, p.all = u.Revision, merged(p.all, u)
-	return p.account(before), true
+	p.revision = u.Revision
+	if u.Full {
+		u = p.difference(u.Present)
+	}
+	return p.change(u), true
 }
 
-// account brings the digest up to date and returns the hosts that changed.
-func (p *Peers) account(before []Peer) []pimentospread.HostID {
-	held := make(map[pimentospread.HostID]Peer, len(before))
-	for _, x := range before {
-		held[x.Host] = x
+// difference returns what leads from the set to the given hosts.
+func (p *Peers) difference(hosts []Peer) PeersUpdate {
+	// In the order of the names each new host goes to the end of the list.
+	u := PeersUpdate{Present: slices.SortedFunc(slices.Values(hosts), func(a, b Peer) int {
+		return strings.Compare(string(a.Host), string(b.Host))
+	})}
+	held := make(map[pimentospread.HostID]bool, len(hosts))
+	for _, x := range hosts {
+		held[x.Host] = true
 	}
-	var changed []pimentospread.HostID
 	for _, x := range p.all {
-		old, known := held[x.Host]
-		delete(held, x.Host)
-		if known && old == x {
-			continue
+		if !held[x.Host] {
+			u.Removed = append(u.Removed, x.Host)
 		}
-		if known {
-			p.digest -= old.digest()
+	}
+	return u
+}
+
+// change takes new, changed and removed hosts and returns those that make a difference.
+func (p *Peers) change(u PeersUpdate) []pimentospread.HostID {
+	if len(u.Present)+len(u.Removed) == 0 {
+		return nil
+	}
+	p.all = slices.Clone(p.all)
+	var changed []pimentospread.HostID
+	for _, x := range u.Present {
+		i, known := p.place(x.Host)
+		switch {
+		case known && p.all[i] == x:
+			continue
+		case known:
+			p.digest -= p.all[i].digest()
+			p.all[i] = x
+		default:
+			p.all = slices.Insert(p.all, i, x)
 		}
 		p.digest += x.digest()
 		changed = append(changed, x.Host)
 	}
-	for id, old := range held {
-		p.digest -= old.digest()
-		changed = append(changed, id)
+	for _, id := range u.Removed {
+		if i, known := p.place(id); known {
+			p.digest -= p.all[i].digest()
+			p.all = slices.Delete(p.all, i, i+1)
+			changed = append(changed, id)
+		}
 	}
 	return changed
 }
@@ -124,27 +149,3 @@
 	}
 	return u
 }
-
-// merged returns the hosts after an update.
-func merged(all []Peer, u PeersUpdate) []Peer {
-	held := map[pimentospread.HostID]Peer{}
-	if !u.Full {
-		for _, x := range all {
-			held[x.Host] = x
-		}
-	}
-	for _, x := range u.Present {
-		held[x.Host] = x
-	}
-	for _, id := range u.Removed {
-		delete(held, id)
-	}
-	next := make([]Peer, 0, len(held))
-	for _, x := range held {
-		next = append(next, x)
-	}
-	slices.SortFunc(next, byName)
-	return next
-}
-
-func byName(a, b Peer) int { return strings.Compare(string(a.Host), string(b.Host)) }
