--- a/standin/soak/judge.go
+++ b/standin/soak/judge.go
@@ -99,13 +99,16 @@
 		j.tell(func(b *book) {
 			b.faults--
 			b.calm = time.Now()
-			if name == "pause" {
-				b.paused = time.Now()
-			}
 		})
+		if name == "pause" {
+			j.woken()
+		}
 	}
 }
 
+// woken says that a paused host goes on.
+func (j *judge) woken() { j.tell(func(b *book) { b.paused = time.Now() }) }
+
 func (j *judge) sent(caller, service netip.AddrPort) {
 	j.tell(func(b *book) { b.services[caller] = service; b.outcome.Flows++ })
 }
--- a/standin/soak/process.go
+++ b/standin/soak/process.go
@@ -129,6 +129,7 @@
 	}
 	h.wanted = h.wanted || ends
 	if ends && h.paused {
+		h.judge.woken()
 		_ = h.process.Signal(syscall.SIGCONT)
 	}
 	_ = h.process.Signal(s)
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
@@ -27,6 +28,7 @@
 		"kill", "stop", "reload", "pause", "link", "links", "outage", "slow", "deaf", "silence", "lost answers",
 		"compaction", "crash", "release", "configuration", "storm",
 	}
+	linked := append(slices.Clone(early), "peer link", "peer links", "late writes", "late events", "few calls")
 	tests := map[string]soak.Config{
 		"many kinds of faults": {Seed: 7, Length: 8 * time.Second, Hosts: 4, Callers: 12, Faults: early},
 		"a platform that is late and refuses calls": {
@@ -36,6 +38,9 @@
 		// A host that woke took a SYN and its copy in a row, doubted the target and
 		// opened the flow at a second one.
 		"copy behind its SYN after a pause": {Seed: 1185, Length: 3 * time.Second, Hosts: 5, Callers: 24, Faults: early},
+		// A stop woke a paused host before the end of its pause, and the host sent on
+		// a SYN that had waited. The soak allowed for that only after the pause's end.
+		"stop of a paused host": {Seed: 601092, Length: 7 * time.Second, Hosts: 5, Callers: 24, Faults: linked},
 	}
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
