Ask all shards whether the target of a silent flow answers others

At each host the question reached the shard of the flow's number alone, which may have no other flow of the target; 2 flows for each shard and target make that likely enough. Change: the other shards of a host hear the targets of the question and say which of them answer; the verdict waits 200 ms for them. Test: TestOtherShardsTellThatTheTargetAnswers, no reply of the other shards before. sendTo of the tests now counts the resets of all hosts, since a verdict may fall into another host's turn.

--- a/decide/flows.go
+++ b/decide/flows.go
@@ -154,7 +154,7 @@
 	case *flow.SilenceQuery:
 		f.silenceQuery(now, in.From, m, a)
 	case *flow.SilenceReply:
-		f.silenceReply(now, in.From, m, a)
+		f.silenceReply(now, in.From, m)
 	}
 }
 
--- a/decide/rules_test.go
+++ b/decide/rules_test.go
@@ -12,7 +12,8 @@
 	"pimentospread/pool"
 )
 
-// sendTo gives a packet to one host and returns what the host wants done with it.
+// sendTo gives a packet to one host and returns what the host wants done with it,
+// and the resets of all hosts meanwhile.
 func (l *load) sendTo(host int, p flow.Packet) (forwards []pimentospread.TargetID, delivers int, drops []DropCause, resets int) {
 	var a FlowActions
 	l.hosts[host].Packet(l.now, p, l.raw, &a)
@@ -34,6 +35,7 @@
 				f.Peer(l.now, in, &b)
 			}
 			f.Tick(l.now, &b)
+			resets += len(b.Resets)
 			l.carry(i, &b)
 		}
 		for _, in := range boxes[host] {
@@ -129,6 +131,29 @@
 	}
 }
 
+// Guards against a silent flow that is kept because the shards of its number
+// have no other flow of the target, while others have.
+func TestOtherShardsTellThatTheTargetAnswers(t *testing.T) {
+	query := &flow.SilenceQuery{Batch: 1, Within: 6, Flows: flow.IDs{0}, Targets: []pimentospread.TargetID{7}}
+	for i, part := range query.Split(3) {
+		l := newLoad(2)
+		p := l.packet()
+		l.hosts[1].silence.heard[7] = l.hosts[1].seconds(l.now)
+		var a FlowActions
+		l.hosts[1].Peer(l.now, pimentospread.Inbound{From: hostName(0), Message: part}, &a)
+		if len(a.Peers) != 1 {
+			t.Fatalf("shard %d sends %d replies, want 1", i, len(a.Peers))
+		}
+		asking := l.hosts[0]
+		asking.flows.Put(flow.Entry{ID: p.ID, Target: 7, Service: 1})
+		asking.silence.asked[p.ID] = &silentFlow{packet: p, waiting: 1}
+		asking.Peer(l.now, pimentospread.Inbound{From: hostName(1), Message: a.Peers[0].Message}, &a)
+		if owner := flow.ShardOf(0, 3) == i; !owner && !asking.silence.asked[p.ID].answering {
+			t.Errorf("the reply of shard %d does not tell that the target answers", i)
+		}
+	}
+}
+
 // Guards against more flows at a target than it holds.
 func TestConnectionLimit(t *testing.T) {
 	l := newLoad(1)
--- a/decide/silence.go
+++ b/decide/silence.go
@@ -15,6 +15,9 @@
 	// that makes a flow suspect. It is the first one after a pause when the flow
 	// was only quiet. The time covers its retransmissions after 1 and 3 s (RFC 6298).
 	confirmAfter = 4 * time.Second
+	// evidenceWait is the time for the replies of shards that have no flow of the
+	// question. It is that of any reply of a peer.
+	evidenceWait = 200 * time.Millisecond
 	// minWithin is above confirmAfter by the time of the question and the rounding to seconds.
 	minWithin = uint32(confirmAfter/time.Second) + 2
 )
@@ -24,15 +27,16 @@
 	// within is the time in seconds in which an answer must have been seen.
 	within uint32
 	asked  map[pimentospread.FlowID]*silentFlow
-	// suspects are the flows of asked that no peer was asked about yet, oldest first.
-	suspects []suspect
+	// suspects are the flows of asked that no peer was asked about yet, oldest first,
+	// and judged those about which all have replied.
+	suspects, judged []suspect
 	// heard is the time of the last answer packet of each target.
 	heard    map[pimentospread.TargetID]uint32
 	budget   float64
 	filledAt time.Time
 }
 
-// suspect is a flow about which the peers are asked when it is due.
+// suspect is a flow about which the peers are asked, or which is judged, when it is due.
 type suspect struct {
 	flow pimentospread.FlowID
 	due  time.Time
@@ -79,6 +83,13 @@
 		f.askPeers(now, q.suspects[0].flow, a)
 		q.suspects = q.suspects[1:]
 	}
+	for len(q.judged) > 0 && !now.Before(q.judged[0].due) {
+		id := q.judged[0].flow
+		q.judged = q.judged[1:]
+		if x := q.asked[id]; x != nil {
+			f.silenceVerdict(now, id, x, a)
+		}
+	}
 }
 
 func (f *Flows) askPeers(now time.Time, id pimentospread.FlowID, a *FlowActions) {
@@ -131,6 +142,13 @@
 
 func (f *Flows) silenceQuery(now time.Time, from pimentospread.HostID, m *flow.SilenceQuery, a *FlowActions) {
 	reply := &flow.SilenceReply{Batch: m.Batch, Count: uint32(len(m.Flows))}
+	if len(m.Flows) == 0 {
+		for _, t := range m.Targets {
+			if f.answering(now, t, m.Within) {
+				reply.Targets = append(reply.Targets, t)
+			}
+		}
+	}
 	for i, id := range m.Flows {
 		if e := f.flows.Get(id); e != nil && e.Answered != 0 && f.seconds(now)-e.Answered <= m.Within {
 			reply.Seen = append(reply.Seen, id)
@@ -142,7 +160,8 @@
 	a.Peers = append(a.Peers, pimentospread.Outbound{To: from, Message: reply})
 }
 
-func (f *Flows) silenceReply(now time.Time, from pimentospread.HostID, m *flow.SilenceReply, a *FlowActions) {
+func (f *Flows) silenceReply(now time.Time, from pimentospread.HostID, m *flow.SilenceReply) {
+	f.targetsAnswer(m.Targets)
 	b, complete := f.mail.reply(from, m.Batch, m.Count)
 	if b == nil || b.kind != kindSilence {
 		return
@@ -163,12 +182,24 @@
 	for _, id := range b.flows {
 		if q := f.silence.asked[id]; q != nil {
 			if q.waiting--; q.waiting == 0 {
-				f.silenceVerdict(now, id, q, a)
+				f.silence.judged = append(f.silence.judged, suspect{id, now.Add(evidenceWait)})
 			}
 		}
 	}
 }
 
+// targetsAnswer takes what a shard says that has no flow of a question.
+func (f *Flows) targetsAnswer(targets []pimentospread.TargetID) {
+	if len(targets) == 0 {
+		return
+	}
+	for id, q := range f.silence.asked {
+		if e := f.flows.Get(id); e != nil && slices.Contains(targets, e.Target) {
+			q.answering = true
+		}
+	}
+}
+
 // silenceMissed takes the lack of a reply as an answer that may have been seen.
 func (f *Flows) silenceMissed(now time.Time, flows flow.IDs) {
 	for _, id := range flows {
--- a/flow/message.go
+++ b/flow/message.go
@@ -101,6 +101,9 @@
 	Seen IDs `msgpack:"E,omitempty"`
 	// Answering are the flows whose targets answer other flows.
 	Answering IDs `msgpack:"A,omitempty"`
+	// Targets are targets of the query that answer flows of a shard which has
+	// none of the query's.
+	Targets []pimentospread.TargetID `msgpack:"T,omitempty"`
 }
 
 // MessageKind returns the name of the message.
--- a/flow/shard.go
+++ b/flow/shard.go
@@ -61,7 +61,8 @@
 	return parts
 }
 
-// Split returns the flows of each shard.
+// Split returns the flows of each shard, and for the other shards the targets,
+// since they may have other flows of them.
 func (m *SilenceQuery) Split(shards int) []pimentospread.Message {
 	parts := make([]pimentospread.Message, shards)
 	for n, id := range m.Flows {
@@ -76,6 +77,11 @@
 			q.Targets = append(q.Targets, m.Targets[n])
 		}
 	}
+	for i, part := range parts {
+		if part == nil && len(m.Targets) > 0 {
+			parts[i] = &SilenceQuery{Batch: m.Batch, Within: m.Within, Targets: m.Targets}
+		}
+	}
 	return parts
 }
 
