--- a/front/counters.go
+++ b/front/counters.go
@@ -34,6 +34,8 @@
 	format string
 	most   int
 	values map[string]pimentospread.Counter
+	// other counts what is beyond the bound; it is nil until then.
+	other pimentospread.Counter
 }
 
 // of returns the counter of the value, or that of all others once there are too many.
@@ -42,7 +44,10 @@
 		return c
 	}
 	if len(l.values) >= l.most {
-		return m.Counter(fmt.Sprintf(l.format, otherLabel))
+		if l.other == nil {
+			l.other = m.Counter(fmt.Sprintf(l.format, otherLabel))
+		}
+		return l.other
 	}
 	c := m.Counter(fmt.Sprintf(l.format, value))
 	l.values[value] = c
@@ -62,8 +67,8 @@
 		doubts:        m.Counter("pimentospread_doubts_total"),
 		decided:       m.Histogram("pimentospread_decision_seconds"),
 		actions:       map[actionKey]pimentospread.Counter{},
-		byTarget:      labelled{"pimentospread_target_flows_total{target=%q}", maxNamedTargets, map[string]pimentospread.Counter{}},
-		byDomain:      labelled{"pimentospread_domain_flows_total{target_domain=%q}", maxNamedDomains, map[string]pimentospread.Counter{}},
+		byTarget:      labelled{format: "pimentospread_target_flows_total{target=%q}", most: maxNamedTargets, values: map[string]pimentospread.Counter{}},
+		byDomain:      labelled{format: "pimentospread_domain_flows_total{target_domain=%q}", most: maxNamedDomains, values: map[string]pimentospread.Counter{}},
 	}
 }
 
