Reset idempotent flows of a registered target that stays silent

Change: outlier.Detector.GivesUp: two retransmissions and no answer to any caller for 0.5 s, or for twice the longest answer time of the service in the last half minute, and the flow of an idempotent route is reset (cause silent_target), so that its caller repeats the request elsewhere. A non-idempotent request is never given up. A host whose own socket has a backlog gives up nothing. Ruled out: resetting at the first retransmission, since a target with a full queue takes as long.

--- a/inflight/tracker.go
+++ b/inflight/tracker.go
@@ -53,6 +53,12 @@
 	ack uint32
 	// nextSequence is the sequence number after the last byte that the caller sent.
 	nextSequence uint32
+	// retransmissions counts the retransmissions since the caller last received an answer
+	// or sent new data.
+	retransmissions int
+	// unansweredSince is when the caller sent the oldest data that is not answered yet. It
+	// is zero if all are.
+	unansweredSince time.Time
 }
 
 // Target is the estimated load of one target.
@@ -165,6 +171,14 @@
 	Retransmitted bool
 	// SentAt is when the retransmitted data was last sent.
 	SentAt time.Time
+	// FirstSentAt is when the oldest unanswered data was first sent, and Retransmissions is
+	// how often the caller has retransmitted since. They are set if Retransmitted is.
+	FirstSentAt     time.Time
+	Retransmissions int
+	// AnswerTime is the time from the request to its answer. It is zero if it is unknown: a
+	// caller that acknowledges an answer with its next request, or when it closes the flow,
+	// may have waited before.
+	AnswerTime time.Duration
 }
 
 // Segment holds the header fields of a packet of an open flow.
@@ -211,7 +225,10 @@
 	}
 	if after(p.Acknowledgement, f.ack) {
 		signal.Answered = true
-		f.ack = p.Acknowledgement
+		if !f.unansweredSince.IsZero() && p.Length == 0 && !p.Ends {
+			signal.AnswerTime = now.Sub(f.unansweredSince)
+		}
+		f.ack, f.retransmissions, f.unansweredSince = p.Acknowledgement, 0, time.Time{}
 		t.finish(now, f)
 	}
 	end := p.Sequence + uint32(p.Length)
@@ -220,9 +237,15 @@
 	case after(end, f.nextSequence):
 		f.nextSequence = end
 		f.lastSent = now
+		f.retransmissions = 0
+		if f.unansweredSince.IsZero() {
+			f.unansweredSince = now
+		}
 		t.start(now, f, p.Acknowledgement)
 	case !signal.Answered && t.IsRetransmission(now, f.lastSent):
+		f.retransmissions++
 		signal.Retransmitted, signal.SentAt = true, f.lastSent
+		signal.FirstSentAt, signal.Retransmissions = f.unansweredSince, f.retransmissions
 		f.lastSent = now
 	}
 	return signal
--- a/inflight/tracker_test.go
+++ b/inflight/tracker_test.go
@@ -40,7 +40,7 @@
 		"a request runs until its answer is acknowledged": {
 			{segment: inflight.Segment{Sequence: 1, Acknowledgement: 100}},
 			{at: 1 * ms, segment: inflight.Segment{Sequence: 1, Acknowledgement: 100, Length: 200}, running: 1},
-			{at: 30 * ms, segment: inflight.Segment{Sequence: 201, Acknowledgement: 2500}, signal: inflight.Signal{Answered: true}},
+			{at: 30 * ms, segment: inflight.Segment{Sequence: 201, Acknowledgement: 2500}, signal: inflight.Signal{Answered: true, AnswerTime: 29 * ms}},
 		},
 		"an acknowledgement and the next request in one packet": {
 			{segment: inflight.Segment{Sequence: 1, Acknowledgement: 100}},
@@ -50,8 +50,8 @@
 		"retransmitted data": {
 			{segment: inflight.Segment{Sequence: 1, Acknowledgement: 100}},
 			{at: 1 * ms, segment: inflight.Segment{Sequence: 1, Acknowledgement: 100, Length: 200}, running: 1},
-			{at: 201 * ms, segment: inflight.Segment{Sequence: 1, Acknowledgement: 100, Length: 200}, signal: inflight.Signal{Retransmitted: true, SentAt: start.Add(ms)}, running: 1},
-			{at: 601 * ms, segment: inflight.Segment{Sequence: 1, Acknowledgement: 100, Length: 200}, signal: inflight.Signal{Retransmitted: true, SentAt: start.Add(201 * ms)}},
+			{at: 201 * ms, segment: inflight.Segment{Sequence: 1, Acknowledgement: 100, Length: 200}, signal: inflight.Signal{Retransmitted: true, SentAt: start.Add(ms), FirstSentAt: start.Add(ms), Retransmissions: 1}, running: 1},
+			{at: 601 * ms, segment: inflight.Segment{Sequence: 1, Acknowledgement: 100, Length: 200}, signal: inflight.Signal{Retransmitted: true, SentAt: start.Add(201 * ms), FirstSentAt: start.Add(ms), Retransmissions: 2}},
 		},
 		"reordered packets of one request": {
 			{segment: inflight.Segment{Sequence: 1, Acknowledgement: 100}},
@@ -71,7 +71,7 @@
 		"sequence numbers wrap": {
 			{segment: inflight.Segment{Sequence: 1<<32 - 100, Acknowledgement: 1<<32 - 1}},
 			{at: 1 * ms, segment: inflight.Segment{Sequence: 1<<32 - 100, Acknowledgement: 1<<32 - 1, Length: 200}, running: 1},
-			{at: 2 * ms, segment: inflight.Segment{Sequence: 100, Acknowledgement: 500}, signal: inflight.Signal{Answered: true}},
+			{at: 2 * ms, segment: inflight.Segment{Sequence: 100, Acknowledgement: 500}, signal: inflight.Signal{Answered: true, AnswerTime: ms}},
 		},
 	}
 	for name, packets := range tests {
--- a/outlier/detector.go
+++ b/outlier/detector.go
@@ -1,6 +1,6 @@
 // Package outlier detects targets that do not answer, from the packets that
 // their callers send. A suspected target gets no new flows except for an
-// occasional trial flow.
+// occasional trial flow. A request to a target that stays silent is given up.
 package outlier
 
 import (
@@ -14,12 +14,16 @@
 	// MinTrialInterval is the time from the start of a suspicion to its first trial
 	// flow. The interval doubles after each trial up to MaxTrialInterval.
 	MinTrialInterval, MaxTrialInterval time.Duration
+	// GiveUp sets when a request is given up.
+	GiveUp GiveUpConfig
 }
 
 // Detector holds what was observed about targets. It is not safe for concurrent use.
 type Detector struct {
 	config  Config
 	targets map[pimentospread.Token]*Target
+	// answerTimes holds the recent answer times of each service.
+	answerTimes map[pimentospread.ServiceName]*answerTimes
 }
 
 // Target is what was observed about one target.
@@ -35,7 +39,10 @@
 
 // New returns a detector that suspects no target.
 func New(c Config) *Detector {
-	return &Detector{config: c, targets: map[pimentospread.Token]*Target{}}
+	return &Detector{
+		config: c, targets: map[pimentospread.Token]*Target{},
+		answerTimes: map[pimentospread.ServiceName]*answerTimes{},
+	}
 }
 
 // Target returns the state of a target and creates it if needed. The pointer
--- /dev/null
+++ b/outlier/giveup.go
@@ -0,0 +1,97 @@
+package outlier
+
+import (
+	"time"
+
+	"pimentospread"
+)
+
+// GiveUpConfig sets when a request to a silent target is given up. A target that runs a
+// long request leaves it unacknowledged and looks the same as one that has crashed, so
+// the time depends on how long the service usually takes.
+type GiveUpConfig struct {
+	// MinRetransmissions is how often the caller must have retransmitted the request.
+	MinRetransmissions int
+	// MinSilence is the shortest time without an answer.
+	MinSilence time.Duration
+	// AnswerTimeFactor is the time without an answer as a multiple of the longest recent
+	// answer time of the service.
+	AnswerTimeFactor float64
+	// AnswerTimeWindow is how long an answer time counts as recent, at least.
+	AnswerTimeWindow time.Duration
+}
+
+// UnansweredRequest is a request that its caller has retransmitted.
+type UnansweredRequest struct {
+	Target  pimentospread.Token
+	Service pimentospread.ServiceName
+	// FirstSentAt is when the request was first sent.
+	FirstSentAt time.Time
+	// Retransmissions is how often it was retransmitted.
+	Retransmissions int
+}
+
+// GivesUp reports whether the target of a request is considered unable to answer it: it
+// has answered no caller since the request was first sent, for a time in which the service
+// answers even its slowest requests. The caller may then repeat an idempotent request
+// elsewhere.
+func (d *Detector) GivesUp(now time.Time, r UnansweredRequest) bool {
+	c := d.config.GiveUp
+	if r.Retransmissions < max(c.MinRetransmissions, 1) || d.Target(r.Target).answered.After(r.FirstSentAt) {
+		return false
+	}
+	silence := c.MinSilence
+	if times, ok := d.answerTimes[r.Service]; ok {
+		silence = max(silence, time.Duration(c.AnswerTimeFactor*float64(times.longest(now, c.AnswerTimeWindow))))
+	}
+	return now.Sub(r.FirstSentAt) >= silence
+}
+
+// RecordAnswerTime records how long a target of the service took to answer a request.
+func (d *Detector) RecordAnswerTime(now time.Time, service pimentospread.ServiceName, taken time.Duration) {
+	times, ok := d.answerTimes[service]
+	if !ok {
+		times = &answerTimes{since: now}
+		d.answerTimes[service] = times
+	}
+	times.record(now, d.config.GiveUp.AnswerTimeWindow, taken)
+}
+
+// RetainServices drops the answer times of all services that are not in the set.
+func (d *Detector) RetainServices(keep func(pimentospread.ServiceName) bool) {
+	for service := range d.answerTimes {
+		if !keep(service) {
+			delete(d.answerTimes, service)
+		}
+	}
+}
+
+// answerTimes holds the longest answer time of the current window and of the one before.
+type answerTimes struct {
+	since             time.Time
+	current, previous time.Duration
+}
+
+// record adds an answer time.
+func (a *answerTimes) record(now time.Time, window, taken time.Duration) {
+	a.advance(now, window)
+	a.current = max(a.current, taken)
+}
+
+// longest returns the longest answer time of the last one to two windows.
+func (a *answerTimes) longest(now time.Time, window time.Duration) time.Duration {
+	a.advance(now, window)
+	return max(a.current, a.previous)
+}
+
+// advance starts a new window if the current one is over.
+func (a *answerTimes) advance(now time.Time, window time.Duration) {
+	elapsed := now.Sub(a.since)
+	if elapsed < window {
+		return
+	}
+	a.previous, a.current, a.since = a.current, 0, now
+	if elapsed >= 2*window {
+		a.previous = 0
+	}
+}
--- a/steer/packet.go
+++ b/steer/packet.go
@@ -25,6 +25,9 @@
 	Sequence, Acknowledgement uint32
 	// Length is the number of data bytes.
 	Length uint16
+	// Delayed is set if packets may have waited at this host. The time between two packets
+	// then does not show how long a target takes.
+	Delayed bool
 }
 
 // ActionKind is what to do with a packet.
@@ -65,6 +68,8 @@
 	CauseDeparted Cause = "departed_target"
 	// CauseLostTarget: the target is no longer registered and does not answer.
 	CauseLostTarget Cause = "lost_target"
+	// CauseSilentTarget: the target is registered but leaves an idempotent request unanswered.
+	CauseSilentTarget Cause = "silent_target"
 	// CauseLeastLoad: the target has the lowest load for a new flow.
 	CauseLeastLoad Cause = "rank"
 	// CauseSYNRetransmission: a retransmitted SYN goes to the same target as before.
--- a/steer/steerer.go
+++ b/steer/steerer.go
@@ -69,6 +69,7 @@
 	known := func(t pimentospread.Token) bool { return v.tokens[t] != nil }
 	s.tracker.Retain(known)
 	s.detector.Retain(known)
+	s.detector.RetainServices(func(service pimentospread.ServiceName) bool { return v.services[service] != nil })
 }
 
 func (s *Steerer) optionsOf(candidates []candidate) options {
@@ -174,12 +175,17 @@
 	if signal.Answered {
 		s.answered(now, t)
 	}
+	if signal.AnswerTime > 0 && !p.Delayed {
+		s.detector.RecordAnswerTime(now, t.Registration.Service, signal.AnswerTime)
+	}
 	if signal.Retransmitted {
 		s.retransmitted(now, t, signal.SentAt)
 	}
 	switch {
 	case signal.Retransmitted && s.lost(t):
 		return Action{Kind: Reset, Cause: CauseLostTarget}
+	case signal.Retransmitted && s.givesUp(now, p, t, signal):
+		return Action{Kind: Reset, Cause: CauseSilentTarget}
 	case t.Departed:
 		return forward(t, CauseDeparted)
 	case signal.Retransmitted:
@@ -189,6 +195,16 @@
 	}
 }
 
+// givesUp reports whether a flow is reset because its target leaves a request unanswered,
+// so that the caller can repeat it before its deadline. A request that must not run
+// twice is never given up: it may be running, and its answer may still come.
+func (s *Steerer) givesUp(now time.Time, p Packet, t *discovery.Target, signal inflight.Signal) bool {
+	return !p.Delayed && s.view.routes[p.Key.Service].Idempotent && s.detector.GivesUp(now, outlier.UnansweredRequest{
+		Target: t.Token, Service: t.Registration.Service,
+		FirstSentAt: signal.FirstSentAt, Retransmissions: signal.Retransmissions,
+	})
+}
+
 // lost reports whether a target that did not answer a packet has stopped for good.
 // A target that was draining still serves its flows after its registration was
 // removed. A target that answers other callers is running, even if the platform no
--- a/steer/steerer_test.go
+++ b/steer/steerer_test.go
@@ -24,6 +24,9 @@
 	retransmissionTimeout = 200 * time.Millisecond
 )
 
+// giveUp has the values of package tokenfront.
+var giveUp = outlier.GiveUpConfig{MinRetransmissions: 2, MinSilence: 500 * time.Millisecond, AnswerTimeFactor: 2, AnswerTimeWindow: 30 * time.Second}
+
 var (
 	start   = time.Unix(1_700_000_000, 0)
 	service = netip.MustParseAddrPort("198.18.0.1:443")
@@ -44,7 +47,7 @@
 		steerer: steer.New(
 			steer.Weights{RemoteCost: 0.3, ColdSpeed: 0.5},
 			inflight.New(inflight.Config{MaxFlows: 1000, AveragingWindow: 2 * time.Second, MaxRequestTime: 300 * time.Millisecond, MinRetransmissionDelay: 150 * time.Millisecond, FlowLifetime: time.Minute}),
-			outlier.New(outlier.Config{MinTrialInterval: time.Second, MaxTrialInterval: 4 * time.Second}),
+			outlier.New(outlier.Config{MinTrialInterval: time.Second, MaxTrialInterval: 4 * time.Second, GiveUp: giveUp}),
 		),
 	}
 }
--- a/tokenfront/front.go
+++ b/tokenfront/front.go
@@ -55,6 +55,15 @@
 	// 2.5 s.
 	minTrialInterval = time.Second
 	maxTrialInterval = 4 * time.Second
+	// minRetransmissionsToGiveUp: callers retransmit after 0.2, 0.6 and 1.4 s, and the
+	// shortest deadline is 0.8 s. One retransmission may follow a lost packet.
+	minRetransmissionsToGiveUp = 2
+	// minSilenceToGiveUp is below the time of the second retransmission.
+	minSilenceToGiveUp = 500 * time.Millisecond
+	// answerTimeFactor allows for a queue that is longer than any within the last
+	// answerTimeWindow.
+	answerTimeFactor = 2
+	answerTimeWindow = 30 * time.Second
 )
 
 // Deps are the dependencies of a Front.
@@ -225,7 +234,13 @@
 			MaxFlows: maxTrackedFlows, AveragingWindow: loadAveragingWindow, MaxRequestTime: maxRequestTime,
 			MinRetransmissionDelay: minRetransmissionDelay, FlowLifetime: s.FlowLifetime.Duration,
 		}),
-		outlier.New(outlier.Config{MinTrialInterval: minTrialInterval, MaxTrialInterval: maxTrialInterval}),
+		outlier.New(outlier.Config{
+			MinTrialInterval: minTrialInterval, MaxTrialInterval: maxTrialInterval,
+			GiveUp: outlier.GiveUpConfig{
+				MinRetransmissions: minRetransmissionsToGiveUp, MinSilence: minSilenceToGiveUp,
+				AnswerTimeFactor: answerTimeFactor, AnswerTimeWindow: answerTimeWindow,
+			},
+		}),
 	)
 }
 
--- a/tokenfront/steering.go
+++ b/tokenfront/steering.go
@@ -39,6 +39,7 @@
 	// lastPacket is the time from the start to the last packet. The shutdown reads it. It
 	// is relative, because the wall clock may jump.
 	lastPacket atomic.Int64
+	backlog    backlog
 	buffer     platform.PacketBuffer
 }
 
@@ -51,6 +52,7 @@
 	})
 	defer stop()
 	for {
+		waiting := s.clock.Now()
 		n, from, err := s.socket.Receive(s.buffer.ReceiveBuffer())
 		if errorx.IsOfType(err, pimentospread.ErrClosed) {
 			return nil
@@ -61,7 +63,9 @@
 			continue
 		}
 		s.applyUpdates()
-		s.handlePacket(n)
+		now := s.clock.Now()
+		s.backlog.received(waiting, now)
+		s.handlePacket(now, n)
 	}
 }
 
@@ -81,14 +85,14 @@
 }
 
 // handlePacket decides on the received datagram of n bytes and sends the result.
-func (s *steering) handlePacket(n int) {
-	now := s.clock.Now()
+func (s *steering) handlePacket(now time.Time, n int) {
 	s.lastPacket.Store(int64(now.Sub(s.started)))
 	p, err := s.buffer.Decode(n)
 	if err != nil {
 		s.counters.countMalformed(err)
 		return
 	}
+	p.Delayed = s.backlog.possible(now)
 	a := s.steerer.Steer(now, p)
 	if p.Key.ID()%s.sampler.maxDivisor == 0 {
 		s.counters.decisionTime.Update(s.clock.Now().Sub(now).Seconds())
