Pool the silence of a target over callers and date answers

Cause: a caller acknowledges an answer of one packet with its next request, up to a second later. Such an acknowledgement counted as an answer at that moment, so a target that had crashed meanwhile looked alive. Each flow also had to find out by itself: with two retransmissions the reset came after 0.6 s. Change: the tracker reports the earliest time at which the caller can have received the answer, and an answer that may be older than the unanswered packet neither clears nor prevents a suspicion. The silence of a target counts from the first packet that stayed unanswered on any flow, and so do the retransmissions, so that later flows are reset at their first retransmission.

--- a/inflight/tracker.go
+++ b/inflight/tracker.go
@@ -53,9 +53,6 @@
 	ack uint32
 	// nextSequence is the sequence number after the last byte that the caller sent.
 	nextSequence uint32
-	// retransmissions counts the retransmissions since the caller last received an answer
-	// or sent new data.
-	retransmissions int
 	// unansweredSince is when the caller sent the oldest data that is not answered yet. It
 	// is zero if all are.
 	unansweredSince time.Time
@@ -165,16 +162,19 @@
 
 // Signal is what a packet shows about the target of its flow.
 type Signal struct {
-	// Answered is set if the caller received an answer since its last packet.
-	Answered bool
+	// Answered is set if the caller received an answer since its last packet, and AnsweredAt
+	// is the earliest time at which it can have received it: a caller may acknowledge an
+	// answer only with its next request, long after it, but has not received it when it
+	// sends the request again.
+	Answered   bool
+	AnsweredAt time.Time
 	// Retransmitted is set if the caller retransmits data.
 	Retransmitted bool
 	// SentAt is when the retransmitted data was last sent.
 	SentAt time.Time
-	// FirstSentAt is when the oldest unanswered data was first sent, and Retransmissions is
-	// how often the caller has retransmitted since. They are set if Retransmitted is.
-	FirstSentAt     time.Time
-	Retransmissions int
+	// FirstSentAt is when the oldest unanswered data was first sent. It is set if
+	// Retransmitted is.
+	FirstSentAt time.Time
 	// AnswerTime is the time from the request to its answer. It is zero if it is unknown: a
 	// caller that acknowledges an answer with its next request, or when it closes the flow,
 	// may have waited before.
@@ -221,14 +221,18 @@
 	if f.opening {
 		t.finish(now, f)
 		f.opening, f.ack, f.nextSequence = false, p.Acknowledgement, p.Sequence
-		signal.Answered = true
+		signal.Answered, signal.AnsweredAt = true, now
 	}
 	if after(p.Acknowledgement, f.ack) {
-		signal.Answered = true
-		if !f.unansweredSince.IsZero() && p.Length == 0 && !p.Ends {
+		signal.Answered, signal.AnsweredAt = true, now
+		switch {
+		case f.unansweredSince.IsZero():
+		case p.Length > 0 || p.Ends:
+			signal.AnsweredAt = f.lastSent
+		default:
 			signal.AnswerTime = now.Sub(f.unansweredSince)
 		}
-		f.ack, f.retransmissions, f.unansweredSince = p.Acknowledgement, 0, time.Time{}
+		f.ack, f.unansweredSince = p.Acknowledgement, time.Time{}
 		t.finish(now, f)
 	}
 	end := p.Sequence + uint32(p.Length)
@@ -237,15 +241,12 @@
 	case after(end, f.nextSequence):
 		f.nextSequence = end
 		f.lastSent = now
-		f.retransmissions = 0
 		if f.unansweredSince.IsZero() {
 			f.unansweredSince = now
 		}
 		t.start(now, f, p.Acknowledgement)
 	case !signal.Answered && t.IsRetransmission(now, f.lastSent):
-		f.retransmissions++
-		signal.Retransmitted, signal.SentAt = true, f.lastSent
-		signal.FirstSentAt, signal.Retransmissions = f.unansweredSince, f.retransmissions
+		signal.Retransmitted, signal.SentAt, signal.FirstSentAt = true, f.lastSent, f.unansweredSince
 		f.lastSent = now
 	}
 	return signal
--- a/outlier/detector.go
+++ b/outlier/detector.go
@@ -28,9 +28,13 @@
 
 // Target is what was observed about one target.
 type Target struct {
-	// answered is the time of the last packet that acknowledged an answer of the target.
+	// answered is a time at which the target still answered.
 	answered  time.Time
 	suspected bool
+	// silentSince is when the packet was sent that the suspected target did not answer.
+	silentSince time.Time
+	// retransmissions counts those since silentSince.
+	retransmissions int
 	// nextTrial is when the next trial flow may be sent.
 	nextTrial time.Time
 	// interval is the current time between trials.
@@ -56,13 +60,16 @@
 	return target
 }
 
-// RecordAnswer records that a caller received an answer from the target. It
-// reports whether the target was suspected until now.
-func (d *Detector) RecordAnswer(now time.Time, token pimentospread.Token) bool {
+// RecordAnswer records that the target answered a caller at the given time or later. It
+// reports whether this ends a suspicion: an answer that may be older than the packet that
+// stayed unanswered does not.
+func (d *Detector) RecordAnswer(at time.Time, token pimentospread.Token) bool {
 	target := d.Target(token)
-	target.answered = now
-	recovered := target.suspected
-	target.suspected = false
+	if at.After(target.answered) {
+		target.answered = at
+	}
+	recovered := target.suspected && at.After(target.silentSince)
+	target.suspected = target.suspected && !recovered
 	return recovered
 }
 
@@ -72,10 +79,15 @@
 // whether the target became suspected.
 func (d *Detector) RecordRetransmission(now time.Time, token pimentospread.Token, sent time.Time) bool {
 	target := d.Target(token)
-	if target.suspected || target.answered.After(sent) {
+	switch {
+	case target.suspected:
+		target.retransmissions++
+		return false
+	case target.answered.After(sent):
 		return false
 	}
-	target.suspected, target.interval = true, d.config.MinTrialInterval
+	target.suspected, target.silentSince, target.retransmissions = true, sent, 1
+	target.interval = d.config.MinTrialInterval
 	target.nextTrial = now.Add(target.interval)
 	return true
 }
--- a/outlier/detector_test.go
+++ b/outlier/detector_test.go
@@ -14,7 +14,8 @@
 
 type step struct {
 	at time.Duration
-	// event is "answered", "retransmitted" (sent 200 ms before), "tried" or empty.
+	// event is "answered", "answered before" (300 ms before or later), "retransmitted"
+	// (sent 200 ms before), "tried" or empty.
 	event string
 	// suspected and trialDue are the expected state after the event.
 	suspected, trialDue bool
@@ -36,6 +37,15 @@
 			{event: "retransmitted", suspected: true},
 			{at: time.Millisecond, event: "answered"},
 		},
+		"an answer that may be older than the unanswered packet does not end the suspicion": {
+			{event: "retransmitted", suspected: true},
+			{at: 50 * time.Millisecond, event: "answered before", suspected: true},
+			{at: 150 * time.Millisecond, event: "answered before"},
+		},
+		"an answer that may be older than a packet does not show that the packet was lost": {
+			{at: 0, event: "answered before"},
+			{at: 0, event: "retransmitted", suspected: true},
+		},
 		"the trial interval doubles up to the maximum": {
 			{event: "retransmitted", suspected: true},
 			{at: time.Second, event: "", suspected: true, trialDue: true},
@@ -64,6 +74,8 @@
 				switch s.event {
 				case "answered":
 					d.RecordAnswer(now, target)
+				case "answered before":
+					d.RecordAnswer(now.Add(-300*time.Millisecond), target)
 				case "retransmitted":
 					d.RecordRetransmission(now, target, now.Add(-200*time.Millisecond))
 				case "tried":
--- a/outlier/giveup.go
+++ b/outlier/giveup.go
@@ -10,7 +10,8 @@
 // long request leaves it unacknowledged and looks the same as one that has crashed, so
 // the time depends on how long the service usually takes.
 type GiveUpConfig struct {
-	// MinRetransmissions is how often the caller must have retransmitted the request.
+	// MinRetransmissions is how often callers must have retransmitted to the target since it
+	// last answered.
 	MinRetransmissions int
 	// MinSilence is the shortest time without an answer.
 	MinSilence time.Duration
@@ -27,24 +28,25 @@
 	Service pimentospread.ServiceName
 	// FirstSentAt is when the request was first sent.
 	FirstSentAt time.Time
-	// Retransmissions is how often it was retransmitted.
-	Retransmissions int
 }
 
-// GivesUp reports whether the target of a request is considered unable to answer it: it
-// has answered no caller since the request was first sent, for a time in which the service
-// answers even its slowest requests. The caller may then repeat an idempotent request
-// elsewhere.
+// GivesUp reports whether the target of a request that was just retransmitted is considered
+// unable to answer it: it has answered no caller for a time in which the service answers
+// even its slowest requests. The caller may then repeat an idempotent request elsewhere.
 func (d *Detector) GivesUp(now time.Time, r UnansweredRequest) bool {
-	c := d.config.GiveUp
-	if r.Retransmissions < max(c.MinRetransmissions, 1) || d.Target(r.Target).answered.After(r.FirstSentAt) {
+	c, target := d.config.GiveUp, d.Target(r.Target)
+	if !target.suspected || target.retransmissions < c.MinRetransmissions {
 		return false
 	}
+	silentSince := target.silentSince
+	if r.FirstSentAt.Before(silentSince) && !target.answered.After(r.FirstSentAt) {
+		silentSince = r.FirstSentAt
+	}
 	silence := c.MinSilence
 	if times, ok := d.answerTimes[r.Service]; ok {
 		silence = max(silence, time.Duration(c.AnswerTimeFactor*float64(times.longest(now, c.AnswerTimeWindow))))
 	}
-	return now.Sub(r.FirstSentAt) >= silence
+	return now.Sub(silentSince) >= silence
 }
 
 // RecordAnswerTime records how long a target of the service took to answer a request.
--- a/steer/giveup_test.go
+++ b/steer/giveup_test.go
@@ -42,6 +42,8 @@
 	tests := map[string]struct {
 		route   pimentospread.Route
 		prepare func(f *fixture)
+		// between runs before each packet.
+		between func(f *fixture, now time.Time)
 		delayed bool
 		// causes are those of the request and its retransmissions after 200, 600 and 1,400 ms.
 		causes []steer.Cause
@@ -64,10 +66,20 @@
 			prepare: func(f *fixture) { f.answer(start.Add(-2*time.Minute), 9, b.Token(), 400*ms) },
 			causes:  []steer.Cause{steer.CauseToken, steer.CauseRetransmission, steer.CauseSilentTarget, steer.CauseSilentTarget},
 		},
-		"another caller was answered after the request": {
-			route:   idempotentRoute(),
-			prepare: func(f *fixture) { f.answer(start.Add(ms), 9, a.Token(), 10*ms) },
-			causes:  []steer.Cause{steer.CauseToken, steer.CauseRetransmission, steer.CauseRetransmission, steer.CauseRetransmission},
+		"other callers get answers": {
+			route: idempotentRoute(),
+			between: func(f *fixture, now time.Time) {
+				f.answer(now.Add(-10*ms), uint16(now.UnixMilli()%1000+10), a.Token(), 9*ms)
+			},
+			causes: []steer.Cause{steer.CauseToken, steer.CauseRetransmission, steer.CauseRetransmission, steer.CauseRetransmission},
+		},
+		"another caller was not answered before": {
+			route: idempotentRoute(),
+			prepare: func(f *fixture) {
+				f.steerer.Steer(start.Add(-700*ms), request(9, a.Token()))
+				f.steerer.Steer(start.Add(-500*ms), request(9, a.Token()))
+			},
+			causes: []steer.Cause{steer.CauseToken, steer.CauseSilentTarget, steer.CauseSilentTarget, steer.CauseSilentTarget},
 		},
 		"packets waited at this host": {
 			route:   idempotentRoute(),
@@ -85,6 +97,9 @@
 			}
 			var got []steer.Cause
 			for _, at := range []time.Duration{0, 200 * ms, 600 * ms, 1400 * ms} {
+				if tc.between != nil {
+					tc.between(f, start.Add(at))
+				}
 				p := request(1, a.Token())
 				p.Delayed = tc.delayed
 				got = append(got, f.steerer.Steer(start.Add(at), p).Cause)
--- a/steer/steerer.go
+++ b/steer/steerer.go
@@ -36,9 +36,9 @@
 	return c
 }
 
-// answered records that a caller received an answer from the target.
-func (s *Steerer) answered(now time.Time, t *discovery.Target) {
-	if s.detector.RecordAnswer(now, t.Token) {
+// answered records that the target answered a caller at the given time or later.
+func (s *Steerer) answered(at time.Time, t *discovery.Target) {
+	if s.detector.RecordAnswer(at, t.Token) {
 		s.changes = append(s.changes, SuspicionChange{Target: t.Registration.Name, Token: t.Token})
 	}
 }
@@ -173,7 +173,7 @@
 		Ends: p.Ends || p.Resets,
 	})
 	if signal.Answered {
-		s.answered(now, t)
+		s.answered(signal.AnsweredAt, t)
 	}
 	if signal.AnswerTime > 0 && !p.Delayed {
 		s.detector.RecordAnswerTime(now, t.Registration.Service, signal.AnswerTime)
@@ -200,8 +200,7 @@
 // twice is never given up: it may be running, and its answer may still come.
 func (s *Steerer) givesUp(now time.Time, p Packet, t *discovery.Target, signal inflight.Signal) bool {
 	return !p.Delayed && s.view.routes[p.Key.Service].Idempotent && s.detector.GivesUp(now, outlier.UnansweredRequest{
-		Target: t.Token, Service: t.Registration.Service,
-		FirstSentAt: signal.FirstSentAt, Retransmissions: signal.Retransmissions,
+		Target: t.Token, Service: t.Registration.Service, FirstSentAt: signal.FirstSentAt,
 	})
 }
 
--- a/tokenfront/front.go
+++ b/tokenfront/front.go
@@ -55,10 +55,10 @@
 	// 2.5 s.
 	minTrialInterval = time.Second
 	maxTrialInterval = 4 * time.Second
-	// minRetransmissionsToGiveUp: callers retransmit after 0.2, 0.6 and 1.4 s, and the
-	// shortest deadline is 0.8 s. One retransmission may follow a lost packet.
+	// minRetransmissionsToGiveUp is 2, because a single one may follow a lost packet.
 	minRetransmissionsToGiveUp = 2
-	// minSilenceToGiveUp is below the time of the second retransmission.
+	// minSilenceToGiveUp is below the time of a caller's second retransmission, 0.6 s. The
+	// third comes after 1.4 s, when deadlines of 0.8 s have passed.
 	minSilenceToGiveUp = 500 * time.Millisecond
 	// answerTimeFactor allows for a queue that is longer than any within the last
 	// answerTimeWindow.
