Compare other targets for each copy of a SYN

Cause: each copy of a SYN starts its comparison at the same index of the list, so it goes to the neighbor of the target that did not answer. Neighbors have adjacent names and may be machines of one rack, which crash together. Change: the number of the copy is part of the hash. The test failed before.

--- a/steer/choice.go
+++ b/steer/choice.go
@@ -37,10 +37,12 @@
 
 // choose returns the target of a new flow: the option with the lowest load per
 // slot among those that are not suspected. If all are suspected, it ignores the
-// suspicion. If trial is set, a suspected target whose trial is due gets the flow
-// instead, so that it can recover.
-func (s *Steerer) choose(now time.Time, service pimentospread.ServiceName, id pimentospread.FlowID, trial bool) (option, Cause) {
-	candidates := s.options[service]
+// suspicion. A suspected target whose trial is due gets the first SYN of a flow instead,
+// so that it can recover. Each retransmission compares other options: neighbors in the
+// list may be machines of one rack, which fail together.
+func (s *Steerer) choose(now time.Time, service pimentospread.ServiceName, flow pimentospread.FlowID, retransmissions uint32) (option, Cause) {
+	candidates, trial := s.options[service], retransmissions == 0
+	id := flow + pimentospread.FlowID(retransmissions)
 	if trial {
 		if o, ok := trialDue(now, candidates.local); ok {
 			s.detector.RecordTrial(now, o.health)
@@ -88,7 +90,7 @@
 }
 
 // leastLoaded returns the option with the lowest cost, and that cost. It compares
-// up to maxCompared options, starting at an index that the hash of the flow gives,
+// up to maxCompared options, starting at an index that the hash of the SYN gives,
 // so that hosts that see no load choose the same target.
 func (s *Steerer) leastLoaded(now time.Time, list []option, id pimentospread.FlowID, includeSuspected bool) (option, float64, bool) {
 	best, lowest, compared := -1, math.Inf(1), 0
--- a/steer/pattern_test.go
+++ b/steer/pattern_test.go
@@ -263,7 +263,8 @@
 }
 
 // Guards against callers of a live board that wait until their deadline because a fifth
-// of the targets crashed together, and against giving up targets that are slow or cut off
+// of the targets crashed together, against SYNs that go to one crashed target after
+// another, and against giving up targets that are slow or cut off
 // for less than callers wait.
 func TestPatterns(t *testing.T) {
 	tests := map[string]struct {
@@ -276,6 +277,10 @@
 		"dark fifth, 7 hosts": {
 			pattern{hosts: 7, targets: 18, callers: 300, failAt: 5 * time.Second, lapseAt: 7300 * time.Millisecond, dark: 0.2, idempotent: true}, 0.001, 0,
 		},
+		// The targets of a rack have adjacent names.
+		"dark fifth in adjacent racks, 195 hosts": {
+			pattern{hosts: 195, targets: 234, callers: 1000, failAt: 5 * time.Second, lapseAt: 7300 * time.Millisecond, dark: 0.2, idempotent: true}, 0.001, 0,
+		},
 		"slow half": {
 			pattern{hosts: 7, targets: 18, callers: 300, failAt: 4 * time.Second, recoverAt: 9 * time.Second, slow: 0.5, slowdown: 12, idempotent: true}, 0, 0,
 		},
--- a/steer/steerer.go
+++ b/steer/steerer.go
@@ -121,7 +121,7 @@
 			}
 		}
 	}
-	o, cause := s.choose(now, service, flow, p.Retransmissions == 0)
+	o, cause := s.choose(now, service, flow, p.Retransmissions)
 	if cause == CauseNoTarget {
 		return Action{Kind: Reset, Cause: cause}
 	}
