End a host within its grace period whatever its duties wait for

Cause: after the shutdown, Run waited for all duties and for the log without a limit. With a log that nobody reads, the process stayed until it was killed. The announcement to other hosts also waited without a limit for room in the ring of the controller. The VXLAN host used the whole grace period before it stopped its duties. Change: duty.Group.WaitFor waits for a limited time and names the duties that have not ended; both fronts keep time for it inside the grace period.

--- a/duty/group_test.go
+++ b/duty/group_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/joomcode/errorx"
 
@@ -20,6 +21,24 @@
 
 func failAtOnce(context.Context) error { return pimentospread.ErrRefused.New("broken") }
 
+// Guards against a process that does not end because one of its duties waits for
+// something that never comes.
+func TestWaitForEndsInTime(t *testing.T) {
+	g := duty.NewGroup(t.Context(), slog.New(slog.DiscardHandler))
+	release := make(chan struct{})
+	g.Go("ends", blockUntilDone)
+	g.Go("hangs", func(context.Context) error { <-release; return nil })
+	g.Stop()
+	err := g.WaitFor(10 * time.Millisecond)
+	if !errorx.IsOfType(err, pimentospread.ErrTimeout) || !strings.Contains(err.Error(), `["hangs"]`) {
+		t.Errorf("error %v, want a timeout that names only the duty that hangs", err)
+	}
+	close(release)
+	if err := g.WaitFor(time.Minute); err != nil {
+		t.Errorf("error %v after all duties have ended, want none", err)
+	}
+}
+
 // Guards against a planned stop being reported as a failure and against a
 // duty's failure being lost, whatever cancels the parent context.
 func TestWait(t *testing.T) {
--- a/host/host.go
+++ b/host/host.go
@@ -185,11 +185,11 @@
 	case <-g.Context().Done():
 	}
 	g.Stop()
-	err := g.Wait()
+	err := g.WaitFor(dutyStopTimeout)
 	h.closeSockets()
 	h.log.Info("host stopped")
 	endLog()
-	return errors.Join(err, logs.Wait())
+	return errors.Join(err, logs.WaitFor(logFlushTimeout))
 }
 
 func (h *Host) recordStart(ctx context.Context) {
--- a/host/shutdown.go
+++ b/host/shutdown.go
@@ -9,15 +9,23 @@
 // The fabric and the peers take up to two heartbeats to notice that it leaves.
 const lingerTime = 2 * time.Second
 
-// closeTime is the time for sending the last replies after the grace period.
-const closeTime = 200 * time.Millisecond
+const (
+	// closeTime is the time for sending the last replies after shutDown stopped waiting.
+	closeTime = 200 * time.Millisecond
+	// dutyStopTimeout limits the wait for the duties when they are stopped, and
+	// logFlushTimeout that for the last lines of the log.
+	dutyStopTimeout = 500 * time.Millisecond
+	logFlushTimeout = 200 * time.Millisecond
+	// exitMargin is the part of the grace period that is left for all of these.
+	exitMargin = closeTime + dutyStopTimeout + logFlushTimeout + 100*time.Millisecond
+)
 
 // shutDown announces to the cell that the host leaves and waits until the flow
 // shards have handed over their records and no request is in progress. It returns
-// at the latest after the grace period in the settings and closeTime.
+// early enough that the process ends within the grace period in the settings.
 func (h *Host) shutDown(ctx context.Context) {
 	h.log.Info("shutdown started", "grace", h.settings.ShutdownGrace)
-	ctx, cancel := context.WithTimeout(ctx, h.settings.ShutdownGrace.Duration)
+	ctx, cancel := context.WithTimeout(ctx, max(h.settings.ShutdownGrace.Duration-exitMargin, 0))
 	defer cancel()
 	if err := h.control.Leave(ctx); err != nil {
 		h.log.Error("shutdown could not be announced", "error", err)
--- a/tokenfront/front.go
+++ b/tokenfront/front.go
@@ -331,8 +331,8 @@
 	}
 	g.Stop()
 	f.close()
-	err := g.Wait()
+	err := g.WaitFor(dutyStopTimeout)
 	f.log.Info("host stopped")
 	stopLog()
-	return errors.Join(err, logs.Wait())
+	return errors.Join(err, logs.WaitFor(logFlushTimeout))
 }
--- a/tokenfront/shutdown.go
+++ b/tokenfront/shutdown.go
@@ -10,8 +10,13 @@
 	// out of rotation. The fabric checks readiness twice a second and requires two
 	// failed checks.
 	quietPeriod = 700 * time.Millisecond
-	// exitMargin is the part of the grace period that is left for stopping the duties.
+	// exitMargin is the part of the grace period that is left for stopping the duties. It
+	// covers dutyStopTimeout and logFlushTimeout.
 	exitMargin = time.Second
+	// dutyStopTimeout limits the wait for the duties when they are stopped.
+	dutyStopTimeout = 500 * time.Millisecond
+	// logFlushTimeout limits the wait for the last lines of the log.
+	logFlushTimeout = 200 * time.Millisecond
 	// quietCheck is the interval at which the shutdown checks for packets.
 	quietCheck = 100 * time.Millisecond
 	// rotationDelay is how long the fabric takes to detect that the host is not ready.
@@ -25,7 +30,9 @@
 	grace := f.settings.ShutdownGrace.Duration
 	f.log.Info("shutdown started", "grace", grace)
 	f.health.shuttingDown.Store(true)
-	if err := f.controller.events.Put(ctx, shutdownStarted{}); err != nil {
+	announced, cancel := context.WithTimeout(ctx, rotationDelay)
+	defer cancel()
+	if err := f.controller.events.Put(announced, shutdownStarted{}); err != nil {
 		f.log.Warn("cannot announce the shutdown to other hosts", "error", err)
 	}
 	check := time.NewTicker(quietCheck)
