Pass on changes along a tree of bounded fan-out

The first host of each failure domain had all others as followers, whatever its link; after a common start it sent each of them the list of 3,000 targets. Change: dissemination.Tree: in each failure domain a host has at most 8 followers, in as many levels as the domain needs. Hosts with faster links (new setting LinkMbps, told in the entry of the host) rank higher. Each follower of a lost host turns to a different host of the level above. The followers of a host, and not only the first host of a domain, detect its loss; entries of lost relays of other domains and of the lost first host are now removed too. With more levels, three faults of the selector showed in the new simulation of a fleet without network (tokenfront/fleet_test.go, the real controllers on a virtual clock) and are mended: a host took a follower with the same stale state as its source, because that state seemed fresher by the time of a message, and kept it for good; a host whose follower reads the platform did not offer that state upwards; two hosts that read the platform stopped because each got the state of the other. A new source must answer within 0.6 s, so that three lost sources in a row cost less than the shortest bound of 3 s. TestOneHostReadsThePlatform allowed three hosts on a path; with 30 hosts in a domain and 8 followers a path has one more. TestTreeIsBounded bounds paths and followers instead, up to 13,000 hosts. TestEntriesOfLostHostsAreRemoved now plays the loss of each host in turn.

--- a/dissemination/peers.go
+++ b/dissemination/peers.go
@@ -1,6 +1,7 @@
 package dissemination
 
 import (
+	"encoding/binary"
 	"net/netip"
 	"slices"
 	"strings"
@@ -15,6 +16,9 @@
 	Host          pimentospread.HostID        `msgpack:"Host"`
 	FailureDomain pimentospread.FailureDomain `msgpack:"FailureDomain"`
 	Address       netip.AddrPort              `msgpack:"Address"`
+	// LinkSpeed is the speed of the host's link. Zero means that it is unknown, as for
+	// hosts of earlier releases.
+	LinkSpeed pimentospread.Megabits `msgpack:"LinkSpeed"`
 }
 
 // PeersUpdate holds all hosts, or those that changed after a revision.
@@ -138,7 +142,12 @@
 	b = append(b, 0)
 	b = append(b, peer.FailureDomain...)
 	b = append(b, 0)
-	return pimentospread.Digest(xxhash.Sum64(peer.Address.AppendTo(b)))
+	b = peer.Address.AppendTo(b)
+	if peer.LinkSpeed > 0 {
+		// Hosts of earlier releases compute the digest without the speed.
+		b = binary.BigEndian.AppendUint32(append(b, 0), uint32(peer.LinkSpeed))
+	}
+	return pimentospread.Digest(xxhash.Sum64(b))
 }
 
 // Snapshot returns the hosts as a full update.
--- a/dissemination/selector.go
+++ b/dissemination/selector.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"pimentospread"
-	"pimentospread/member"
 )
 
 // SelectorConfig sets the timing of a selector.
@@ -14,11 +13,14 @@
 	Self pimentospread.HostID
 	// FailureDomain is the failure domain of this host.
 	FailureDomain pimentospread.FailureDomain
+	// FanOut is the number of hosts of a failure domain that prefer the same source.
+	FanOut int
 	// SettleTime is the time after the start for which the host reads the platform
 	// until it knows the other hosts.
 	SettleTime time.Duration
-	// SilenceTimeout is the time without messages after which a source counts as lost.
-	SilenceTimeout time.Duration
+	// SilenceTimeout is the time without messages after which a source counts as lost, and
+	// AnswerTimeout that for a new source, which answers a subscription at once.
+	SilenceTimeout, AnswerTimeout time.Duration
 	// RelayMaxAge is the age of the state at which the relay of a failure domain reads
 	// the platform itself, and FollowerMaxAge that for the other hosts. RelayMaxAge is shorter,
 	// so that in most cases the other hosts need not read it.
@@ -27,6 +29,10 @@
 	// attempts to read the platform. The rate of calls is then independent of the size
 	// of the group.
 	RetrySpread time.Duration
+	// ReadDuration is how long a host goes on reading the platform on average after it began
+	// because its state was stale. Two such hosts that stopped as soon as each of them got
+	// the state of the other would leave nobody who reads.
+	ReadDuration time.Duration
 	// MinAvoidance is how long a lost source is not chosen again. The time doubles up to
 	// MaxAvoidance while the source stays lost.
 	MinAvoidance, MaxAvoidance time.Duration
@@ -40,10 +46,8 @@
 	Peer pimentospread.HostID
 }
 
-// Selector decides where a host gets changes from. The host with the highest rank of
-// all reads the platform. The host with the highest rank of each failure domain, its
-// relay, gets changes from that host, and the other hosts of the domain get them from
-// hosts of their own domain. A source that sends no messages is replaced by the next
+// Selector decides where a host gets changes from: the first host of the Tree of all
+// hosts reads the platform, and the others prefer their sources in that tree. A source that sends no messages is replaced by the next
 // one, and finally by the platform. A source that sends messages but has no fresh
 // state itself is kept. Its followers then try to read the platform at different
 // times, and one that succeeds becomes the source of its source.
@@ -53,6 +57,8 @@
 	// preferred holds the preferred sources in order. It is empty for the host that
 	// reads the platform.
 	preferred []pimentospread.HostID
+	// watched holds the hosts whose loss this host detects.
+	watched []pimentospread.HostID
 	// others holds the hosts to try if neither the preferred ones nor the platform answer.
 	others []pimentospread.HostID
 	// relay is set if this host is the relay of its failure domain.
@@ -77,8 +83,8 @@
 	chosen, received, fresh time.Time
 	// retrying is set while the platform is read because the state is stale.
 	retrying bool
-	// retryAt is when to read the platform next.
-	retryAt time.Time
+	// retryAt is when to read the platform next, and readUntil how long to go on.
+	retryAt, readUntil time.Time
 }
 
 // NewSelector returns a selector that starts with reading the platform.
@@ -92,46 +98,19 @@
 	}
 }
 
-// SetPeers sets the hosts of the system and ranks them.
+// SetPeers sets the hosts of the system and arranges them in a tree.
 func (s *Selector) SetPeers(peers []Peer) {
-	candidates := make([]member.Candidate, 0, len(peers))
-	domain := map[pimentospread.HostID]pimentospread.FailureDomain{}
-	for _, p := range peers {
-		candidates = append(candidates, member.Candidate{ID: p.Host, FailureDomain: p.FailureDomain})
-		domain[p.Host] = p.FailureDomain
-	}
-	ranked := member.Rank(0, candidates, len(candidates))
-	var own []pimentospread.HostID
-	for _, id := range ranked {
-		if domain[id] == s.config.FailureDomain {
-			own = append(own, id)
-		}
-	}
-	rank := slices.Index(own, s.config.Self)
-	s.relay, s.group = rank == 0, len(own)
-	switch {
-	case rank == 0 && ranked[0] != s.config.Self:
-		s.preferred, s.group = ranked[:1], countDomains(domain)
-	case rank > 0:
-		s.preferred = own[:min(rank, 2)]
-	case rank < 0:
-		s.preferred = own[:min(len(own), 2)]
-	default:
-		s.preferred = nil
-	}
-	s.others = slices.DeleteFunc(slices.Clone(ranked), func(id pimentospread.HostID) bool {
-		return id == s.config.Self || slices.Contains(s.preferred, id)
+	self, domain := s.config.Self, s.config.FailureDomain
+	tree := NewTree(peers, s.config.FanOut)
+	s.relay, s.group = tree.IsRelay(self), tree.Group(self, domain)
+	s.preferred, s.watched = tree.Sources(self, domain), tree.Watched(self)
+	s.others = slices.DeleteFunc(slices.Clone(tree.Ranked()), func(id pimentospread.HostID) bool {
+		return id == self || slices.Contains(s.preferred, id)
 	})
 }
 
-// countDomains returns the number of different failure domains.
-func countDomains(domains map[pimentospread.HostID]pimentospread.FailureDomain) int {
-	set := map[pimentospread.FailureDomain]bool{}
-	for _, d := range domains {
-		set[d] = true
-	}
-	return len(set)
-}
+// Watched returns the hosts whose loss this host detects.
+func (s *Selector) Watched() []pimentospread.HostID { return s.watched }
 
 // IsRelay reports whether this host is the preferred source of its failure domain.
 func (s *Selector) IsRelay() bool { return s.relay }
@@ -189,12 +168,14 @@
 	}
 }
 
-// Probe returns a host that is preferred to the chosen one and has not answered since
-// it was lost, or an empty ID. The caller asks it for changes. The chosen host is
-// kept until it answers.
+// Probe returns a host that is preferred to the chosen one, or an empty ID. The caller
+// asks it for changes as well: it has not answered since it was lost, and the chosen host
+// is kept until it answers; or this host gets fresh state from one of its followers, which
+// its preferred source may lack and is offered with each subscription.
 func (s *Selector) Probe(now time.Time) pimentospread.HostID {
-	best := s.first(now, s.preferred)
-	if s.sources.Peer == "" || best == s.sources.Peer || !s.keeps(now, best) {
+	best, current := s.first(now, s.preferred), s.sources.Peer
+	offers := s.offered != "" && s.offered == current && !s.stale(now)
+	if current == "" || best == current || !offers && !s.keeps(now, best) {
 		return ""
 	}
 	return best
@@ -209,9 +190,10 @@
 }
 
 // ReceivedSubscription records the age of the state of a follower. A follower becomes
-// the source if its state is fresh and that of this host is stale.
+// the source if the state of this host is stale and that of the follower is much fresher:
+// the state that a follower got from this host seems fresher by the time of a message.
 func (s *Selector) ReceivedSubscription(now time.Time, from pimentospread.HostID, age time.Duration) {
-	if s.stale(now) && age < s.maxAge() {
+	if s.stale(now) && age < s.maxAge()/2 {
 		s.offered = from
 	}
 }
@@ -248,8 +230,8 @@
 	if now.Sub(s.started) < s.config.SettleTime {
 		return s.sources, false
 	}
-	if peer := s.sources.Peer; peer != "" && now.Sub(later(s.received, s.chosen)) >= s.config.SilenceTimeout {
-		s.avoid(now, peer)
+	if s.sources.Peer != "" && s.silent(now) {
+		s.avoid(now, s.sources.Peer)
 	}
 	next := Sources{Peer: s.peer(now)}
 	next.Platform = s.platform(now, next.Peer, jitter)
@@ -263,8 +245,20 @@
 	return next, true
 }
 
+// silent reports whether the chosen peer has sent no message for too long.
+func (s *Selector) silent(now time.Time) bool {
+	if s.received.Before(s.chosen) {
+		return now.Sub(s.chosen) >= s.config.AnswerTimeout
+	}
+	return now.Sub(s.received) >= s.config.SilenceTimeout
+}
+
 // peer returns the host to get changes from, or an empty ID.
 func (s *Selector) peer(now time.Time) pimentospread.HostID {
+	if s.offered != "" && s.offered == s.sources.Peer && now.Sub(later(s.fresh, s.chosen)) >= s.maxAge() {
+		// The follower sends messages, but lost its own source.
+		s.offered = ""
+	}
 	if best := s.first(now, s.preferred); best != "" && s.offered == "" {
 		if slices.Contains(s.preferred, s.sources.Peer) && s.keeps(now, best) {
 			return s.sources.Peer
@@ -305,13 +299,13 @@
 	}
 	receiving := peer == s.sources.Peer && !s.fresh.IsZero() && now.Sub(s.fresh) < s.maxAge()
 	switch {
-	case receiving && !s.stale(now):
+	case receiving && !s.stale(now) && !now.Before(s.readUntil):
 		s.retrying, s.retryAt = false, time.Time{}
 	case s.retrying || !s.stale(now):
 	case s.retryAt.IsZero():
 		s.retryAt = now.Add(s.spread(jitter))
 	case !now.Before(s.retryAt):
-		s.retrying = true
+		s.retrying, s.readUntil = true, now.Add(time.Duration((0.5+jitter)*float64(s.config.ReadDuration)))
 	}
 	return s.retrying
 }
--- a/settings/check.go
+++ b/settings/check.go
@@ -20,6 +20,8 @@
 	maxRingCapacity = 1 << 20
 	// maxMemoryMB is 1 TB, so that a value given in bytes is rejected.
 	maxMemoryMB = 1 << 20
+	// maxLinkMbps is 1 Tbit/s, so that a value given in bits is rejected.
+	maxLinkMbps = 1_000_000
 )
 
 // Decode decodes settings; fields that are absent keep their defaults. It returns
@@ -72,6 +74,9 @@
 	if !(s.MemoryLimitMB >= 0 && s.MemoryLimitMB <= maxMemoryMB) {
 		c.fault("MemoryLimitMB", "is %v, must be between 0 and %d", s.MemoryLimitMB, maxMemoryMB)
 	}
+	if !(s.LinkMbps >= 0 && s.LinkMbps <= maxLinkMbps) {
+		c.fault("LinkMbps", "is %v, must be between 0 and %d", s.LinkMbps, maxLinkMbps)
+	}
 	s.checkLog(&c)
 	sortByField(c.faults)
 	return c.faults
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -79,6 +79,8 @@
 	FlowLogShare int `json:"FlowLogShare"`
 	// MemoryLimitMB is the memory limit of the process (MB). Zero means no limit.
 	MemoryLimitMB float64 `json:"MemoryLimitMB"`
+	// LinkMbps is the speed of the host's link (megabits per second). Hosts with faster links pass on changes to the others. Zero means that it is unknown. Used with token.
+	LinkMbps float64 `json:"LinkMbps"`
 	// LogFormat is "json" or "text".
 	LogFormat string `json:"LogFormat"`
 	// LogLevel is "debug", "info", "warn" or "error".
--- a/tokenfront/front.go
+++ b/tokenfront/front.go
@@ -257,7 +257,10 @@
 		bound := f.sockets.peer.Addr().(*net.TCPAddr).AddrPort()
 		address = netip.AddrPortFrom(bound.Addr().Unmap(), bound.Port())
 	}
-	return dissemination.Peer{Host: f.settings.Host, FailureDomain: f.settings.FailureDomain, Address: address}
+	return dissemination.Peer{
+		Host: f.settings.Host, FailureDomain: f.settings.FailureDomain, Address: address,
+		LinkSpeed: pimentospread.Megabits(f.settings.LinkMbps),
+	}
 }
 
 // newPeerExchange returns the exchange with all configured seeds except this host.
@@ -272,17 +275,22 @@
 	return &peerExchange{
 		seeds: seeds,
 		self:  f.self(), log: f.log, network: f.network, reregistrations: f.registrar.reregistrations, removals: f.registrar.removals,
-		selector: dissemination.NewSelector(now, dissemination.SelectorConfig{
-			Self: f.settings.Host, FailureDomain: f.settings.FailureDomain, SettleTime: settleTime,
-			SilenceTimeout: sourceTimeout, RetrySpread: platformRetrySpread,
-			RelayMaxAge: relayMaxAge, FollowerMaxAge: followerMaxAge, MinAvoidance: minAvoidDuration, MaxAvoidance: maxAvoidDuration,
-		}),
+		selector:    dissemination.NewSelector(now, selectorConfig(f.self())),
 		distributor: dissemination.NewDistributor(dissemination.DistributorConfig{Lease: subscriptionLease}),
 		lastSeen:    map[pimentospread.HostID]time.Time{},
 		started:     now,
 	}
 }
 
+// selectorConfig returns the configuration of the selector of a host.
+func selectorConfig(self dissemination.Peer) dissemination.SelectorConfig {
+	return dissemination.SelectorConfig{
+		Self: self.Host, FailureDomain: self.FailureDomain, FanOut: fanOut, SettleTime: settleTime,
+		SilenceTimeout: sourceTimeout, AnswerTimeout: answerTimeout, RetrySpread: platformRetrySpread, ReadDuration: readDuration,
+		RelayMaxAge: relayMaxAge, FollowerMaxAge: followerMaxAge, MinAvoidance: minAvoidDuration, MaxAvoidance: maxAvoidDuration,
+	}
+}
+
 // inbox queues messages from other hosts for the controller.
 type inbox struct{ events *ring.Ring[event] }
 
--- a/tokenfront/peer_exchange.go
+++ b/tokenfront/peer_exchange.go
@@ -6,6 +6,7 @@
 	"maps"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"pimentospread"
@@ -22,9 +23,18 @@
 	// watchStartDelay is the time after which a host that has settled receives updates
 	// from its source.
 	watchStartDelay = settleTime + 500*time.Millisecond
+	// fanOut limits what a host sends, also when all its followers start together, and gives
+	// four levels to the 481 hosts of a failure domain in two years.
+	fanOut = 8
 	// sourceTimeout is the time without a state update after which a source is
 	// considered lost. It is longer than two intervals between state updates.
 	sourceTimeout = 1200 * time.Millisecond
+	// answerTimeout is the time in which a new source answers. It covers a connection and a
+	// few subscriptions. Three sources in a row that are lost take 2.4 s then, less than the
+	// shortest bound of 3 s for drains and configurations.
+	answerTimeout = 600 * time.Millisecond
+	// readDuration is how long hosts whose state was stale read the platform.
+	readDuration = 3 * time.Second
 	// relayMaxAge is the age of the state at which a relay tries the platform itself.
 	// It exceeds the maximum age in normal operation, which is a watch and its response
 	// together, and leaves time to try the platform within the limits of 3 s for drains
@@ -58,8 +68,8 @@
 	hostsWatchWait = 10 * time.Second
 	// maxRegisterPause is the maximum pause after a failed registration.
 	maxRegisterPause = 4 * time.Second
-	// lostHostTimeout is the time without a subscription after which the entry of a host of
-	// the own failure domain is removed. A replaced host returns under its name sooner.
+	// lostHostTimeout is the time without a message after which the entry of a watched host is
+	// removed. A replaced host returns under its name sooner.
 	lostHostTimeout = 2 * time.Minute
 )
 
@@ -91,8 +101,8 @@
 	// path lists the hosts over which the state was last confirmed. It is empty if the
 	// platform confirmed it directly.
 	path []pimentospread.HostID
-	// lastSeen is the time of the last subscription from each host. A host that has sent
-	// none is entered when removeLostHosts first finds it in the list.
+	// lastSeen is the time of the last message from each host that this host watches. One that
+	// has sent none is entered by removeLostHosts.
 	lastSeen map[pimentospread.HostID]time.Time
 	// connected are the hosts to which connections are kept.
 	connected map[pimentospread.HostID]netip.AddrPort
@@ -183,6 +193,7 @@
 // handleStateUpdate applies the age of the sender's state and its list of hosts. The
 // state s is that of this host after the state update.
 func (e *peerExchange) handleStateUpdate(ctx context.Context, now time.Time, from pimentospread.HostID, m *dissemination.StateUpdate, s dissemination.State) {
+	e.lastSeen[from] = now
 	e.sourceAnswered = e.sourceAnswered || from == e.selector.Sources().Peer
 	before := e.selector.Confirmed()
 	e.selector.ReceivedStateUpdate(now, from, m.Age, m.Path)
@@ -197,6 +208,19 @@
 		e.subscribe(ctx, now)
 	}
 	e.chooseSource(ctx, now)
+	if now.Sub(before) >= relayMaxAge && now.Sub(e.selector.Confirmed()) < relayMaxAge {
+		e.probe(ctx, now)
+	}
+}
+
+// probe asks the host that the selector probes, if any, for changes.
+func (e *peerExchange) probe(ctx context.Context, now time.Time) {
+	host := e.selector.Probe(now)
+	if host == "" {
+		return
+	}
+	e.updateConnections(ctx, now)
+	e.send(ctx, []pimentospread.Outbound{{To: host, Message: e.subscription(now)}})
 }
 
 // isBehind reports whether position a lacks an update that b has.
@@ -217,10 +241,7 @@
 	if !e.sourceAnswered && e.subscribeBackoff.due(now) || now.Sub(e.subscribed) >= subscribeInterval {
 		e.subscribe(ctx, now)
 	}
-	if e.selector.Probe(now) != "" {
-		e.updateConnections(ctx, now)
-		e.send(ctx, []pimentospread.Outbound{{To: e.selector.Probe(now), Message: e.subscription(now)}})
-	}
+	e.probe(ctx, now)
 	e.subscribeToSeeds(ctx, now)
 	e.removeLostHosts(ctx, now)
 }
@@ -310,26 +331,21 @@
 	}
 }
 
-// removeLostHosts requests the removal of entries of hosts of the own failure domain
-// that have not subscribed for a long time. Only the relay of the failure domain can
-// detect them, because the other hosts subscribe to it.
+// removeLostHosts requests the removal of entries of hosts that this host watches and that
+// have sent nothing for a long time. A host that runs and uses another source for that long
+// registers again when its entry is removed.
 func (e *peerExchange) removeLostHosts(ctx context.Context, now time.Time) {
-	if !e.selector.IsRelay() {
-		clear(e.lastSeen)
-		return
-	}
-	for _, p := range e.peers.All() {
-		if p.Host == e.self.Host || p.FailureDomain != e.self.FailureDomain {
-			continue
-		}
-		last, ok := e.lastSeen[p.Host]
+	watched := e.selector.Watched()
+	maps.DeleteFunc(e.lastSeen, func(id pimentospread.HostID, _ time.Time) bool { return !slices.Contains(watched, id) })
+	for _, id := range watched {
+		last, ok := e.lastSeen[id]
 		if !ok {
-			e.lastSeen[p.Host] = now
+			e.lastSeen[id] = now
 			continue
 		}
 		if now.Sub(last) >= lostHostTimeout {
-			e.lastSeen[p.Host] = now
-			_ = e.removals.Put(ctx, p.Host)
+			e.lastSeen[id] = now
+			_ = e.removals.Put(ctx, id)
 		}
 	}
 }
--- a/tokenfront/registrar.go
+++ b/tokenfront/registrar.go
@@ -21,6 +21,7 @@
 type hostEntry struct {
 	FailureDomain pimentospread.FailureDomain `json:"FailureDomain"`
 	PeerAddress   netip.AddrPort              `json:"PeerAddress"`
+	LinkSpeed     pimentospread.Megabits      `json:"LinkSpeed"`
 }
 
 // registrar is the duty that maintains the entry of this host on the platform.
@@ -75,7 +76,7 @@
 // differs.
 func (r *registrar) write(ctx context.Context, replace bool) error {
 	key := pimentospread.ObjectKey{Kind: pimentospread.KindHost, Name: string(r.self.Host)}
-	value, err := json.Marshal(hostEntry{FailureDomain: r.self.FailureDomain, PeerAddress: r.self.Address})
+	value, err := json.Marshal(hostEntry{FailureDomain: r.self.FailureDomain, PeerAddress: r.self.Address, LinkSpeed: r.self.LinkSpeed})
 	if err != nil {
 		return pimentospread.At(pimentospread.ErrInvalid.Wrap(err, "cannot encode the entry of the host"), "encode", "")
 	}
@@ -118,7 +119,7 @@
 			continue
 		}
 		u.Present = append(u.Present, dissemination.Peer{
-			Host: pimentospread.HostID(c.Name), FailureDomain: entry.FailureDomain, Address: entry.PeerAddress,
+			Host: pimentospread.HostID(c.Name), FailureDomain: entry.FailureDomain, Address: entry.PeerAddress, LinkSpeed: entry.LinkSpeed,
 		})
 	}
 	return hostsUpdate{u}, nil
--- a/units.go
+++ b/units.go
@@ -11,6 +11,9 @@
 // Bytes is an amount of data.
 type Bytes uint64
 
+// Megabits is the speed of a link in megabits per second.
+type Megabits uint32
+
 // BytesPerSecond is a data rate.
 type BytesPerSecond uint64
 
