Confirm a state only when no change of the source is missing

Cause: the age that a source sends with its changes advanced the confirmed time of the follower also when the follower could not apply them, because earlier ones were missing. A host then passed on its old state as up to date until its next subscription. Change: such a message shows only that the source runs. Result: TestChangesThatLeaveAGapConfirmNothing failed before (confirmed 267 ms later without the changes) and passes.

--- a/dissemination/selector.go
+++ b/dissemination/selector.go
@@ -147,17 +147,22 @@
 	return time.Duration(share * float64(max(s.group, 1)) * float64(s.config.RetrySpread))
 }
 
-// ReceivedStateUpdate records a message from a peer, with the age of the peer's state
-// and the path over which the peer got it. State that the peer got from this host does
-// not count as fresh.
-func (s *Selector) ReceivedStateUpdate(now time.Time, from pimentospread.HostID, age time.Duration, path []pimentospread.HostID) {
+// ReceivedMessage records that a peer runs.
+func (s *Selector) ReceivedMessage(now time.Time, from pimentospread.HostID) {
 	delete(s.avoidance, from)
 	if from != s.sources.Peer {
 		s.alive[from] = now
 		return
 	}
 	s.received = now
-	if slices.Contains(path, s.config.Self) {
+}
+
+// ReceivedStateUpdate records a message after which this host has the state of the peer,
+// with the age of that state and the path over which the peer got it. State that the peer
+// got from this host does not count as fresh.
+func (s *Selector) ReceivedStateUpdate(now time.Time, from pimentospread.HostID, age time.Duration, path []pimentospread.HostID) {
+	s.ReceivedMessage(now, from)
+	if from != s.sources.Peer || slices.Contains(path, s.config.Self) {
 		return
 	}
 	if confirmed := now.Add(-age); confirmed.After(s.confirmed) {
--- a/tokenfront/peer_exchange.go
+++ b/tokenfront/peer_exchange.go
@@ -196,15 +196,20 @@
 	e.lastSeen[from] = now
 	e.sourceAnswered = e.sourceAnswered || from == e.selector.Sources().Peer
 	before := e.selector.Confirmed()
-	e.selector.ReceivedStateUpdate(now, from, m.Age, m.Path)
+	e.position, e.digest = s.Position(), s.Directory.Digest()
+	behind := isBehind(e.position, m.Position)
+	if behind {
+		e.selector.ReceivedMessage(now, from)
+	} else {
+		e.selector.ReceivedStateUpdate(now, from, m.Age, m.Path)
+	}
 	if e.selector.Confirmed().After(before) {
 		e.path = append([]pimentospread.HostID{from}, m.Path...)
 	}
 	if u := m.Peers; u != nil && e.peersSource.Accept(from, u.Full, u.From, e.peers.Revision()) {
 		e.applyHosts(ctx, now, *u)
 	}
-	e.position, e.digest = s.Position(), s.Directory.Digest()
-	if from == e.selector.Sources().Peer && isBehind(e.position, m.Position) {
+	if behind && from == e.selector.Sources().Peer {
 		e.subscribe(ctx, now)
 	}
 	e.chooseSource(ctx, now)
--- a/tokenfront/peer_exchange_test.go
+++ b/tokenfront/peer_exchange_test.go
@@ -10,6 +10,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"pimentospread"
+	"pimentospread/discovery"
 	"pimentospread/dissemination"
 	"pimentospread/ring"
 )
@@ -76,6 +77,29 @@
 	}
 }
 
+// Guards against a host that counts its state as up to date although it could not apply the
+// changes that its source sent, because it lacks earlier ones.
+func TestChangesThatLeaveAGapConfirmNothing(t *testing.T) {
+	f := newFleet(t, 2, 1, 3)
+	f.startAll()
+	f.run(2 * time.Second)
+	source := dissemination.NewTree(f.peers, fanOut).Ranked()[0]
+	follower := f.hosts[f.peers[0].Host]
+	if follower.self.Host == source {
+		follower = f.hosts[f.peers[1].Host]
+	}
+	f.run(100 * time.Millisecond)
+	confirmed := follower.controller.exchange.selector.Confirmed()
+	position := follower.controller.sharedState().Position()
+	position.Targets += 10
+	follower.handle(peerMessage{pimentospread.Inbound{From: source, Message: &dissemination.StateUpdate{
+		Position: position, Updates: []discovery.Update{{From: position.Targets - 1, Revision: position.Targets}},
+	}}})
+	if got := follower.controller.exchange.selector.Confirmed(); !got.Equal(confirmed) {
+		t.Errorf("the state counts as confirmed %s after it was, although the host lacks 9 changes of its source", got.Sub(confirmed))
+	}
+}
+
 // Guards against platform entries of lost hosts that stay, whichever host is lost, and
 // against the removal of entries of hosts that are alive.
 func TestEntriesOfLostHostsAreRemoved(t *testing.T) {
