Limit the whole lists that a host sends

Cause: hosts that start while the platform is slow or down ask their few seeds for everything, again and again, and get everything each time. Change: whole lists take at most a fiftieth of the link of a host, with a second of it in advance; a refusal names followers of the host, which have the list, and confirms nothing. Changes, configurations and removed targets are not limited. Hosts connect to seeds only when they need them: when a call to the platform failed, or after 0.4 s without a response (0.15 s before).

--- a/discovery/directory.go
+++ b/discovery/directory.go
@@ -127,6 +127,9 @@
 // Digest returns the digest of the registrations that the platform lists.
 func (d *Directory) Digest() pimentospread.Digest { return d.digest }
 
+// Len returns the number of registered targets.
+func (d *Directory) Len() int { return len(d.entries) }
+
 // Covers reports whether the update leaves no gap: it is full, or it starts at or
 // before the directory's revision.
 func (d *Directory) Covers(u Update) bool { return u.Full || u.From <= d.revision && d.revision > 0 }
--- a/dissemination/distributor.go
+++ b/dissemination/distributor.go
@@ -23,6 +23,9 @@
 type DistributorConfig struct {
 	// Lease is the time after which a subscription expires unless it is renewed.
 	Lease time.Duration
+	// LinkSpeed is the speed of the link of this host, which limits the whole lists that it
+	// sends. Zero means that it is unknown.
+	LinkSpeed pimentospread.Megabits
 }
 
 // Distributor passes the changes that this host receives on to its subscribers.
@@ -33,6 +36,9 @@
 	peers       changeLog[pimentospread.HostID]
 	// configurations holds the latest configurations, oldest first.
 	configurations []pimentospread.Configuration
+	lists          listBudget
+	// referred counts the hosts that were named to subscribers, to name different ones.
+	referred int
 }
 
 // subscriber is the state of one subscription.
@@ -43,6 +49,8 @@
 	targets, peers mark
 	// until is when the subscription expires.
 	until time.Time
+	// listedAt is when the list of targets was last sent to it.
+	listedAt time.Time
 	// once is set if it asked for a single answer. The subscriber is kept until the
 	// lease ends, so that the link stays open and the answer arrives.
 	once bool
@@ -66,7 +74,7 @@
 
 // NewDistributor returns a distributor without subscribers.
 func NewDistributor(c DistributorConfig) *Distributor {
-	return &Distributor{config: c, subscribers: map[pimentospread.HostID]*subscriber{}}
+	return &Distributor{config: c, subscribers: map[pimentospread.HostID]*subscriber{}, lists: newListBudget(c.LinkSpeed)}
 }
 
 // Subscribe adds, renews or ends a subscription. The returned message brings the
@@ -89,6 +97,8 @@
 		once: m.Once && (!found || sub.once), address: m.Address, position: m.Position, until: now.Add(d.config.Lease),
 		targets: d.targets.find(s.Directory.Digest(), m.TargetsDigest),
 		peers:   d.peers.find(s.Peers.Digest(), m.PeersDigest),
+
+		listedAt: sub.listedAt,
 	}
 	return []pimentospread.Outbound{d.stateUpdate(now, from, sub, s)}
 }
@@ -168,21 +178,32 @@
 	return ids
 }
 
-// stateUpdate returns a message with the changes that the subscriber is missing.
+// stateUpdate returns a message with the changes that the subscriber is missing. It leaves
+// out a whole list that the budget does not allow; the subscriber then gets it later, or
+// from one of the hosts that the message names.
 func (d *Distributor) stateUpdate(now time.Time, to pimentospread.HostID, sub *subscriber, s State) pimentospread.Outbound {
 	message := &StateUpdate{Age: max(now.Sub(s.Confirmed), 0), Path: s.Path, Position: s.Position()}
 	if sub.position.Targets < message.Position.Targets {
-		message.Updates = []discovery.Update{d.targetsAfter(sub, s)}
-		message.Grace = s.Directory.Grace(now)
-		sub.targets = d.targets.newest()
+		u, ok := d.targetsAfter(now, sub, s)
+		if ok {
+			message.Updates = []discovery.Update{u}
+			message.Grace = s.Directory.Grace(now)
+			sub.targets = d.targets.newest()
+		} else {
+			message.Position.Targets, message.Age = sub.position.Targets, unconfirmedAge
+			message.Elsewhere = d.elsewhere(to, s)
+		}
 	}
 	if sub.position.Configuration < message.Position.Configuration {
 		message.Routes = d.routesAfter(sub.position.Configuration, s)
 	}
 	if sub.position.Peers < message.Position.Peers {
-		u := d.peersAfter(sub, s)
-		message.Peers = &u
-		sub.peers = d.peers.newest()
+		if u, ok := d.peersAfter(now, sub, s); ok {
+			message.Peers = &u
+			sub.peers = d.peers.newest()
+		} else {
+			message.Position.Peers = sub.position.Peers
+		}
 	}
 	sub.position = Position{
 		Targets:       max(sub.position.Targets, message.Position.Targets),
@@ -192,24 +213,51 @@
 	return pimentospread.Outbound{To: to, Message: message}
 }
 
+// elsewhere returns hosts that can send the list of targets to another host, different ones
+// each time: followers of this one, which have the list, or else any.
+func (d *Distributor) elsewhere(to pimentospread.HostID, s State) []Peer {
+	var candidates []Peer
+	for _, id := range d.ids() {
+		if sub := d.subscribers[id]; id != to && !sub.once && sub.position.Targets > 0 {
+			candidates = append(candidates, Peer{Host: id, Address: sub.address})
+		}
+	}
+	if len(candidates) == 0 {
+		candidates = s.Peers.All()
+	}
+	var named []Peer
+	for range min(maxElsewhere, len(candidates)) {
+		named = append(named, candidates[d.referred%len(candidates)])
+		d.referred++
+	}
+	return named
+}
+
 // targetsAfter returns the changes of targets that the subscriber is missing, or all
-// targets if its state is not in the log.
-func (d *Distributor) targetsAfter(sub *subscriber, s State) discovery.Update {
+// targets if its state is not in the log. It returns false if these must not be sent now.
+func (d *Distributor) targetsAfter(now time.Time, sub *subscriber, s State) (discovery.Update, bool) {
 	names, ok := d.targets.after(sub.targets)
-	if !ok || sub.position.Targets == 0 {
-		return s.Directory.Snapshot()
+	if ok && sub.position.Targets > 0 {
+		return s.Directory.UpdateSince(sub.position.Targets, names), true
+	}
+	if now.Sub(sub.listedAt) < minListInterval || !d.lists.take(now, s.Directory.Len()) {
+		return discovery.Update{}, false
 	}
-	return s.Directory.UpdateSince(sub.position.Targets, names)
+	sub.listedAt = now
+	return s.Directory.Snapshot(), true
 }
 
 // peersAfter returns the changes of hosts that the subscriber is missing, or all
-// hosts if its state is not in the log.
-func (d *Distributor) peersAfter(sub *subscriber, s State) PeersUpdate {
+// hosts if its state is not in the log. It returns false if these must not be sent now.
+func (d *Distributor) peersAfter(now time.Time, sub *subscriber, s State) (PeersUpdate, bool) {
 	hosts, ok := d.peers.after(sub.peers)
-	if !ok || sub.position.Peers == 0 {
-		return s.Peers.Snapshot()
+	if ok && sub.position.Peers > 0 {
+		return s.Peers.UpdateSince(sub.position.Peers, hosts), true
+	}
+	if !d.lists.take(now, len(s.Peers.All())) {
+		return PeersUpdate{}, false
 	}
-	return s.Peers.UpdateSince(sub.position.Peers, hosts)
+	return s.Peers.Snapshot(), true
 }
 
 // routesAfter returns the changes after a version, or all routes if that version is
--- a/dissemination/message.go
+++ b/dissemination/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"pimentospread"
@@ -16,6 +17,14 @@
 	KindStateUpdate pimentospread.MessageKind = "News"
 )
 
+const (
+	// maxElsewhere limits the hosts that a state update names to ask instead.
+	maxElsewhere = 3
+	// unconfirmedAge is the age in a state update that leaves out what the subscriber lacks,
+	// so that it confirms nothing, also to hosts of earlier releases.
+	unconfirmedAge = time.Hour
+)
+
 // Constructors returns the constructors of the messages of this package.
 func Constructors() map[pimentospread.MessageKind]func() pimentospread.Message {
 	return map[pimentospread.MessageKind]func() pimentospread.Message{
@@ -87,6 +96,9 @@
 	Peers *PeersUpdate `msgpack:"Peers"`
 	// Leaves is set if the sender is about to stop.
 	Leaves bool `msgpack:"Leaves"`
+	// Elsewhere lists hosts that can send the list of targets, if the sender does not
+	// because it sends too many.
+	Elsewhere []Peer `msgpack:"Elsewhere"`
 }
 
 // MessageKind returns KindStateUpdate.
@@ -97,10 +109,14 @@
 	if m.Age < 0 || m.Grace < 0 {
 		return pimentospread.At(pimentospread.ErrInvalid.New("state update with age %s and grace %s, want no negative duration", m.Age, m.Grace), "decode", "")
 	}
-	if m.Peers == nil {
-		return nil
+	if len(m.Elsewhere) > maxElsewhere {
+		return pimentospread.At(pimentospread.ErrInvalid.New("state update names %d hosts to ask, want at most %d", len(m.Elsewhere), maxElsewhere), "decode", "")
+	}
+	named := m.Elsewhere
+	if m.Peers != nil {
+		named = slices.Concat(named, m.Peers.Present)
 	}
-	for _, p := range m.Peers.Present {
+	for _, p := range named {
 		if p.Host == "" || !p.Address.IsValid() {
 			return pimentospread.At(pimentospread.ErrInvalid.New("host %q in the state update has no name or no valid address", p.Host), "decode", "")
 		}
--- a/tokenfront/controller.go
+++ b/tokenfront/controller.go
@@ -83,8 +83,6 @@
 
 // run handles events until the context ends.
 func (ctl *controller) run(ctx context.Context) error {
-	// Connect to the seeds early, in case the platform is unavailable.
-	ctl.exchange.updateConnections(ctx, ctl.clock.Now())
 	tick := time.NewTicker(startupTickInterval)
 	defer tick.Stop()
 	for starting := true; ; {
--- a/tokenfront/front.go
+++ b/tokenfront/front.go
@@ -276,7 +276,7 @@
 		seeds: seeds,
 		self:  f.self(), log: f.log, network: f.network, reregistrations: f.registrar.reregistrations, removals: f.registrar.removals,
 		selector:    dissemination.NewSelector(now, selectorConfig(f.self())),
-		distributor: dissemination.NewDistributor(dissemination.DistributorConfig{Lease: subscriptionLease}),
+		distributor: dissemination.NewDistributor(dissemination.DistributorConfig{Lease: subscriptionLease, LinkSpeed: f.self().LinkSpeed}),
 		lastSeen:    map[pimentospread.HostID]time.Time{},
 		started:     now,
 	}
--- a/tokenfront/peer_exchange.go
+++ b/tokenfront/peer_exchange.go
@@ -45,8 +45,9 @@
 	// platformRetrySpread spreads the attempts of the hosts of a failure domain, so that
 	// they try the platform about five times a second, whatever their number.
 	platformRetrySpread = 200 * time.Millisecond
-	// seedDelay is the time after the start in which an available platform has responded.
-	seedDelay = 150 * time.Millisecond
+	// seedDelay is the time after the start in which an available platform has responded,
+	// also when many hosts start together.
+	seedDelay = 400 * time.Millisecond
 	// platformListTimeout is how long a starting host waits for the list of targets from
 	// the platform while the platform responds to other calls: two attempts.
 	platformListTimeout = 2 * listTimeout
@@ -95,7 +96,12 @@
 
 	// seeds are the addresses of hosts whose names are not known.
 	seeds map[pimentospread.HostID]netip.AddrPort
-	peers dissemination.Peers
+	// referred are the hosts that a seed named to ask instead of itself, and asked those that
+	// were asked last.
+	referred, asked map[pimentospread.HostID]netip.AddrPort
+	// platformFailing is set from a failed call to the platform until one succeeds.
+	platformFailing bool
+	peers           dissemination.Peers
 	// peersSource tracks the source of the list of hosts.
 	peersSource dissemination.SourceTracker
 	// path lists the hosts over which the state was last confirmed. It is empty if the
@@ -136,6 +142,7 @@
 
 // platformAnswered records that the platform has confirmed the state up to a time.
 func (e *peerExchange) platformAnswered(ctx context.Context, now, confirmed time.Time) {
+	e.platformFailing = false
 	stale := now.Sub(e.selector.Confirmed()) >= relayMaxAge
 	if confirmed.After(e.selector.Confirmed()) {
 		e.path = nil
@@ -149,6 +156,7 @@
 
 // platformFailed records a failed call to the platform.
 func (e *peerExchange) platformFailed(ctx context.Context, now time.Time) {
+	e.platformFailing = true
 	e.selector.PlatformFailed(now, rand.Float64())
 	e.chooseSource(ctx, now)
 }
@@ -194,6 +202,7 @@
 // state s is that of this host after the state update.
 func (e *peerExchange) handleStateUpdate(ctx context.Context, now time.Time, from pimentospread.HostID, m *dissemination.StateUpdate, s dissemination.State) {
 	e.lastSeen[from] = now
+	e.handleReferral(m)
 	e.sourceAnswered = e.sourceAnswered || from == e.selector.Sources().Peer
 	before := e.selector.Confirmed()
 	e.position, e.digest = s.Position(), s.Directory.Digest()
@@ -312,8 +321,9 @@
 // the seeds until the first targets and routes are there.
 func (e *peerExchange) updateConnections(ctx context.Context, now time.Time) {
 	want := e.distributor.Subscribers()
-	if e.position.Targets == 0 || e.position.Configuration == 0 {
+	if e.needsSeeds(now) {
 		maps.Copy(want, e.seeds)
+		maps.Copy(want, e.asked)
 	}
 	for _, id := range []pimentospread.HostID{e.selector.Sources().Peer, e.selector.Probe(now)} {
 		if p, ok := e.peers.Find(id); ok {
--- a/tokenfront/seeds.go
+++ b/tokenfront/seeds.go
@@ -2,27 +2,55 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"pimentospread"
+	"pimentospread/dissemination"
 )
 
 // subscribeToSeeds requests a state update from the seeds while the host has no
 // targets or no routes and the platform does not respond.
 func (e *peerExchange) subscribeToSeeds(ctx context.Context, now time.Time) {
-	if e.position.Targets > 0 && e.position.Configuration > 0 || now.Sub(e.started) < seedDelay || e.awaitsPlatformList(now) {
+	if !e.needsSeeds(now) || !e.seedBackoff.due(now) {
 		return
 	}
-	if !e.seedBackoff.due(now) {
-		return
+	e.asked = e.seeds
+	if len(e.referred) > 0 {
+		e.asked = e.referred
 	}
-	for id := range e.seeds {
+	// If these do not answer either, the seeds are asked again.
+	e.referred = nil
+	e.updateConnections(ctx, now)
+	for id := range e.asked {
 		m := e.subscription(now)
 		m.Once = true
 		e.send(ctx, []pimentospread.Outbound{{To: id, Message: m}})
 	}
 }
 
+// needsSeeds reports whether the host lacks targets or routes and cannot expect them from
+// the platform.
+func (e *peerExchange) needsSeeds(now time.Time) bool {
+	if e.position.Targets > 0 && e.position.Configuration > 0 {
+		return false
+	}
+	return (e.platformFailing || now.Sub(e.started) >= seedDelay) && !e.awaitsPlatformList(now)
+}
+
+// handleReferral records the hosts that a state update names to ask for the targets.
+func (e *peerExchange) handleReferral(m *dissemination.StateUpdate) {
+	if len(m.Elsewhere) == 0 || e.position.Targets > 0 {
+		return
+	}
+	e.referred = map[pimentospread.HostID]netip.AddrPort{}
+	for _, p := range m.Elsewhere {
+		if p.Address != e.self.Address {
+			e.referred[pimentospread.HostID("seed "+p.Address.String())] = p.Address
+		}
+	}
+}
+
 // awaitsPlatformList reports whether the list of targets from the platform is likely
 // to arrive soon. A whole list from another host would then only load its link.
 func (e *peerExchange) awaitsPlatformList(now time.Time) bool {
