Let packets wait for the first state of a starting host

Change: the steering duty receives its first packet once there is a configuration and a list of targets, or after 0.3 s; until then packets wait in the socket. A view without a list of targets is not complete, and nothing is reset by it. TestPacketsWaitForTheFirstState and a case of TestSteer failed before.

--- a/steer/packet.go
+++ b/steer/packet.go
@@ -86,7 +86,7 @@
 	CauseNoTarget Cause = "no_target"
 	// CauseUnknownToken: the token names no known target.
 	CauseUnknownToken Cause = "unknown_token"
-	// CauseNoConfiguration: the host has not received a configuration yet.
+	// CauseNoConfiguration: the host has not received a configuration and a list of targets yet.
 	CauseNoConfiguration Cause = "no_configuration"
 )
 
--- a/steer/steerer.go
+++ b/steer/steerer.go
@@ -50,7 +50,7 @@
 	}
 }
 
-// New returns a steerer that drops all packets until it gets a view with a configuration.
+// New returns a steerer that drops all packets until it gets a complete view.
 func New(w Weights, tracker *inflight.Tracker, detector *outlier.Detector) *Steerer {
 	return &Steerer{weights: w, tracker: tracker, detector: detector, options: map[pimentospread.ServiceName]options{}}
 }
@@ -93,7 +93,7 @@
 
 // Steer returns what to do with a caller's packet.
 func (s *Steerer) Steer(now time.Time, p Packet) Action {
-	if s.view == nil || s.view.Version == 0 {
+	if s.view == nil || !s.view.Complete() {
 		return Action{Kind: Drop, Cause: CauseNoConfiguration}
 	}
 	if p.Opens {
--- a/steer/steerer_test.go
+++ b/steer/steerer_test.go
@@ -114,6 +114,9 @@
 		"no configuration yet": {
 			prepare: func(*fixture) {}, packet: syn(1, 0), kind: steer.Drop, cause: steer.CauseNoConfiguration,
 		},
+		"no list of targets yet": {
+			prepare: func(f *fixture) { f.configure(1, deskRoute()) }, packet: syn(1, 0), kind: steer.Drop, cause: steer.CauseNoConfiguration,
+		},
 		"new flow": {
 			prepare: func(f *fixture) { f.configure(1, deskRoute()); f.register(start, a) },
 			packet:  syn(1, 0), kind: steer.Forward, cause: steer.CauseLeastLoad, target: "i-1",
--- a/steer/view.go
+++ b/steer/view.go
@@ -80,6 +80,11 @@
 	return &updated
 }
 
+// Complete reports whether the view has a configuration and a list of targets. A packet
+// cannot be judged by one of them alone: a flow whose target is not in the list yet is not
+// a flow without a target.
+func (v *View) Complete() bool { return v.Version > 0 && v.Revision > 0 }
+
 // Age returns the time since routes and targets were last known to be up to date.
 func (v *View) Age(now time.Time) time.Duration { return now.Sub(v.Confirmed) }
 
--- a/tokenfront/controller.go
+++ b/tokenfront/controller.go
@@ -233,7 +233,7 @@
 		version: ctl.view.Version, revision: ctl.view.Revision, targets: ctl.view.Targets(), confirmed: confirmed,
 		sources: ctl.exchange.selector.Sources(), hosts: len(ctl.exchange.peers.All()), followers: len(ctl.exchange.distributor.Subscribers()),
 	})
-	if v := ctl.view; v.Version > 0 && v.Revision > 0 && !ctl.ready.Swap(true) {
+	if v := ctl.view; v.Complete() && !ctl.ready.Swap(true) {
 		ctl.log.Info("host ready", "configuration", v.Version, "revision", v.Revision, "targets", v.Targets())
 	}
 }
--- a/tokenfront/front_test.go
+++ b/tokenfront/front_test.go
@@ -209,6 +209,19 @@
 	return p
 }
 
+// Guards against the loss of packets that arrive while a host starts. After a power cut of
+// all hosts their callers send again only a second later.
+func TestPacketsWaitForTheFirstState(t *testing.T) {
+	t.Parallel()
+	p := newConfiguredPlatform()
+	target := newTarget(t, p, "i-7f")
+	p.setUnavailable(true)
+	f := startFront(t, "h-1", p)
+	f.send(t, synPacket(4000, 443))
+	p.setUnavailable(false)
+	target.receive(t)
+}
+
 // Guards against packets that are lost or changed between the socket and the target.
 func TestPacketsReachTheTarget(t *testing.T) {
 	t.Parallel()
--- a/tokenfront/steering.go
+++ b/tokenfront/steering.go
@@ -51,6 +51,7 @@
 		}
 	})
 	defer stop()
+	s.awaitFirstState(ctx)
 	for {
 		waiting := s.clock.Now()
 		n, from, err := s.socket.Receive(s.buffer.ReceiveBuffer())
@@ -69,6 +70,32 @@
 	}
 }
 
+// startupHold is how long packets wait in the socket of a starting host. With most hosts
+// out of rotation, as after a power cut, the fabric sends packets to hosts that are not
+// ready; a host has its first state after 0.1 to 0.2 s then. A caller whose packet is
+// dropped sends it again up to 1.6 s later.
+const startupHold = 300 * time.Millisecond
+
+// awaitFirstState waits for a complete view before the first packet is received, for
+// startupHold at most.
+func (s *steering) awaitFirstState(ctx context.Context) {
+	limit := time.NewTimer(startupHold)
+	defer limit.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-limit.C:
+			return
+		case v := <-s.views.Items():
+			s.steerer.SetView(v)
+			if v.Complete() {
+				return
+			}
+		}
+	}
+}
+
 // applyUpdates applies a new view or new settings, if any, without blocking: the
 // steering duty blocks only on the socket. It runs once for each received packet,
 // before the packet is handled, so an update waits for the next packet. If both are
