Report an uncertain outcome when a release is removed

Cause: after a lost answer the publisher reads the release to learn the outcome. If it was removed meanwhile, it read the generation of no release and crashed. Change: the outcome is reported as uncertain, which it is. Result: TestPublishWhileTheReleaseIsRemoved panicked before.

--- a/publish/publisher.go
+++ b/publish/publisher.go
@@ -199,6 +199,9 @@
 	if currentVersion == version {
 		return false, nil, nil
 	}
+	if current == nil {
+		return false, nil, pimentospread.ErrUncertain.New("release of cell %q was removed before the outcome was read", p.deps.Cell)
+	}
 	if current.Generation <= next.Generation {
 		return false, current, nil
 	}
--- a/publish/publisher_test.go
+++ b/publish/publisher_test.go
@@ -168,6 +168,26 @@
 	}
 }
 
+// TestPublishWhileTheReleaseIsRemoved guards against a crash of the publisher, and against
+// an outcome that it cannot know, when the release is removed after a lost answer.
+func TestPublishWhileTheReleaseIsRemoved(t *testing.T) {
+	f := newPlatform()
+	p := newPublisher(f)
+	if _, err := publishSet(p, "one"); err != nil {
+		t.Fatal(err)
+	}
+	f.outcome = func(key pimentospread.ObjectKey) answerOutcome {
+		if key.Kind != pimentospread.KindRelease {
+			return answered
+		}
+		delete(f.objects, key)
+		return answerLostBeforeWrite
+	}
+	if _, err := publishSet(p, "two"); !errorx.IsOfType(err, pimentospread.ErrUncertain) {
+		t.Errorf("error %v, want uncertain", err)
+	}
+}
+
 // raceAfterLoss publishes another release right after the first lost answer, before the outcome is read.
 type raceAfterLoss struct {
 	*fakePlatform
