Limit the response that an operator's client reads

Cause: the client read a response of any length into memory. Change: a response above 16 MiB is an error. Result: TestLongResponsesAreRefused read 64 MiB before.

--- a/operator/client.go
+++ b/operator/client.go
@@ -17,6 +17,10 @@
 	"pimentospread/slo"
 )
 
+// maxResponseBytes limits what a client reads of a response. A release is 1 MiB at most, and
+// as JSON a few times that.
+const maxResponseBytes = 16 << 20
+
 // Client is a client of the administration API of one host.
 type Client struct {
 	base  string
@@ -104,10 +108,13 @@
 		return c.failed(err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(response.Body)
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
 	if err != nil {
 		return c.failed(err)
 	}
+	if len(data) > maxResponseBytes {
+		return c.failed(fmt.Errorf("response to %s %s is longer than %d bytes", method, path, maxResponseBytes))
+	}
 	if response.StatusCode >= http.StatusBadRequest {
 		return c.problem(response, data)
 	}
--- a/operator/server_test.go
+++ b/operator/server_test.go
@@ -114,6 +114,25 @@
 	}
 }
 
+// Guards against an operator's machine that runs out of memory because a host, or what
+// answers in its place, sends without end.
+func TestLongResponsesAreRefused(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		page := bytes.Repeat([]byte(" "), 1<<20)
+		for range 64 {
+			if _, err := w.Write(page); err != nil {
+				return
+			}
+		}
+		_, _ = io.WriteString(w, `{}`)
+	}))
+	defer s.Close()
+	if _, err := operator.NewClient(s.URL, "").Status(t.Context()); err == nil {
+		t.Error("a response of 64 MiB was read whole, want an error")
+	}
+}
+
 // Guards against a host that accepts changes because no token is set.
 func TestChangesRefusedWithoutConfiguredToken(t *testing.T) {
 	s := newServer(func(d *operator.Deps) { d.Token = "" })
