Write a long log line alone

Cause: a batch whose first line is longer than an atomic write went out whole, with all short lines after it, so that a reader could see these cut by lines of other processes. Change: the long line is written alone.

--- a/telemetry/log.go
+++ b/telemetry/log.go
@@ -123,8 +123,8 @@
 	}
 }
 
-// chunkLength returns the length of the whole lines that fit into one write. If
-// the first line is longer than that, it returns the length of the whole batch.
+// chunkLength returns the length of the whole lines that fit into one write, or that of
+// the first line if it is longer.
 func chunkLength(batch []byte) int {
 	if len(batch) <= maxWriteBytes {
 		return len(batch)
@@ -132,6 +132,9 @@
 	if i := bytes.LastIndexByte(batch[:maxWriteBytes], '\n'); i >= 0 {
 		return i + 1
 	}
+	if i := bytes.IndexByte(batch, '\n'); i >= 0 {
+		return i + 1
+	}
 	return len(batch)
 }
 
--- a/telemetry/log_test.go
+++ b/telemetry/log_test.go
@@ -86,6 +86,27 @@
 	}
 }
 
+// Guards against short lines that are interleaved with those of other processes because a
+// line before them is too long to be written atomically.
+func TestLongLineIsWrittenAlone(t *testing.T) {
+	output := &writeRecorder{}
+	l := telemetry.NewLog(telemetry.LogConfig{Output: output, Level: slog.LevelInfo})
+	l.Error("long", "text", strings.Repeat("x", 8000))
+	for range 10 {
+		l.Error("short")
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	stop()
+	if err := l.Run(ctx); err != nil {
+		t.Fatal(err)
+	}
+	for _, w := range output.writes {
+		if lines := bytes.Count(w, []byte("\n")); len(w) > 4096 && lines != 1 {
+			t.Errorf("write of %d bytes with %d lines, want the long line alone", len(w), lines)
+		}
+	}
+}
+
 // Guards against packets that flood the log.
 func TestLogRateIsLimited(t *testing.T) {
 	var output bytes.Buffer
