Apply all updates before the next packet

Cause: the steering duty applied one update a packet, chosen at random when both a view and settings had arrived, so a packet could be judged by a view that was no longer the newest. Change: it applies both. Result: TestAllUpdatesApplyBeforeTheNextPacket failed before.

--- a/tokenfront/front_test.go
+++ b/tokenfront/front_test.go
@@ -17,8 +17,12 @@
 	"time"
 
 	"pimentospread"
+	"pimentospread/discovery"
 	"pimentospread/platform"
+	"pimentospread/ring"
+	"pimentospread/routing"
 	"pimentospread/settings"
+	"pimentospread/steer"
 )
 
 // configurationText is the format of a configuration with one route, for a version.
@@ -209,6 +213,25 @@
 	return p
 }
 
+// Guards against a packet that is judged by an old view although a newer one has arrived,
+// because the settings changed at the same time.
+func TestAllUpdatesApplyBeforeTheNextPacket(t *testing.T) {
+	t.Parallel()
+	for range 50 {
+		s := &steering{
+			views: ring.New[*steer.View](1, ring.DropOldest), settings: ring.New[settings.Settings](1, ring.DropOldest),
+			steerer: newSteerer(settings.DefaultSettings()),
+		}
+		view := steer.NewView("near", routing.New(), discovery.New(discovery.Config{}))
+		_ = s.settings.Put(t.Context(), settings.DefaultSettings())
+		_ = s.views.Put(t.Context(), view)
+		s.applyUpdates()
+		if s.steerer.View() != view || s.settings.Len() > 0 {
+			t.Fatalf("view applied: %t, settings left: %d, want both applied at once", s.steerer.View() == view, s.settings.Len())
+		}
+	}
+}
+
 // Guards against the loss of packets that arrive while a host starts. After a power cut of
 // all hosts their callers send again only a second later.
 func TestPacketsWaitForTheFirstState(t *testing.T) {
--- a/tokenfront/steering.go
+++ b/tokenfront/steering.go
@@ -96,14 +96,16 @@
 	}
 }
 
-// applyUpdates applies a new view or new settings, if any, without blocking: the
-// steering duty blocks only on the socket. It runs once for each received packet,
-// before the packet is handled, so an update waits for the next packet. If both are
-// new, one of them waits for the packet after that.
+// applyUpdates applies a new view and new settings, if any, without blocking: the
+// steering duty blocks only on the socket. It runs once for each received packet, before
+// the packet is handled, so that no packet is judged by an older view than the newest.
 func (s *steering) applyUpdates() {
 	select {
 	case v := <-s.views.Items():
 		s.steerer.SetView(v)
+	default:
+	}
+	select {
 	case n := <-s.settings.Items():
 		s.sampler = newFlowSampler(pimentospread.FlowID(n.FlowLogShare))
 		s.steerer.SetWeights(weights(n))
