Ask seeds for nothing that the platform or the source lacks

Cause: before the first configuration of a system is written, every host lacks one and asked its seeds for it after 0.4 s, though the platform had answered. Change: a host that has the targets asks seeds only if neither the platform nor its source has answered for 1.5 s. TestFleetStartsBeforeTheFirstConfiguration failed before.

--- a/tokenfront/fleet_test.go
+++ b/tokenfront/fleet_test.go
@@ -540,6 +540,34 @@
 	}
 }
 
+// Guards against hosts that ask their seeds for a configuration that the platform does not
+// have yet, so that a few hosts have connections to all others at the first start of a
+// system.
+func TestFleetStartsBeforeTheFirstConfiguration(t *testing.T) {
+	for _, size := range fleetSizes {
+		t.Run(fmt.Sprint(size.hosts), func(t *testing.T) {
+			f := newFleet(t, size.hosts, size.domains, 20)
+			f.configuration.Version = 0
+			f.startAll()
+			most := 0
+			for range 100 {
+				f.run(50 * time.Millisecond)
+				for _, h := range f.hosts {
+					most = max(most, len(h.links))
+				}
+			}
+			// The first host has the relays of the other failure domains as well.
+			if limit := fanOut + size.domains; most > limit {
+				t.Errorf("a host has links to %d others, want at most %d", most, limit)
+			}
+			f.configure(1)
+			if took := f.settle(5 * time.Second); took > time.Second {
+				t.Errorf("the first configuration takes %s to all hosts, want at most 1 s", took)
+			}
+		})
+	}
+}
+
 // Guards against hosts that start while the platform is down and get no state, and against
 // the few hosts that all of them know being loaded with the lists of all.
 func TestFleetStartsWhileThePlatformIsDown(t *testing.T) {
--- a/tokenfront/peer_exchange.go
+++ b/tokenfront/peer_exchange.go
@@ -117,8 +117,10 @@
 	digest pimentospread.Digest
 	// subscribed is the time of the last subscription.
 	subscribed time.Time
-	// sourceAnswered is set once the chosen peer has sent a state update.
-	sourceAnswered bool
+	// sourceAnswered is set once the chosen peer has sent a state update, and sourceAnsweredAt
+	// is the time of the last one.
+	sourceAnswered   bool
+	sourceAnsweredAt time.Time
 	// subscribeBackoff and seedBackoff space repeated subscriptions to the source and to
 	// the seeds.
 	subscribeBackoff, seedBackoff backoff
@@ -203,7 +205,9 @@
 func (e *peerExchange) handleStateUpdate(ctx context.Context, now time.Time, from pimentospread.HostID, m *dissemination.StateUpdate, s dissemination.State) {
 	e.lastSeen[from] = now
 	e.handleReferral(m)
-	e.sourceAnswered = e.sourceAnswered || from == e.selector.Sources().Peer
+	if from == e.selector.Sources().Peer {
+		e.sourceAnswered, e.sourceAnsweredAt = true, now
+	}
 	before := e.selector.Confirmed()
 	e.position, e.digest = s.Position(), s.Directory.Digest()
 	behind := isBehind(e.position, m.Position)
--- a/tokenfront/seeds.go
+++ b/tokenfront/seeds.go
@@ -30,12 +30,19 @@
 }
 
 // needsSeeds reports whether the host lacks targets or routes and cannot expect them from
-// the platform.
+// the platform or from its source. A configuration that these do not have while they answer
+// is not known to other hosts either.
 func (e *peerExchange) needsSeeds(now time.Time) bool {
-	if e.position.Targets > 0 && e.position.Configuration > 0 {
+	switch {
+	case e.position.Targets > 0 && e.position.Configuration > 0:
 		return false
+	case e.platformFailing:
+		return !e.awaitsPlatformList(now)
+	case e.position.Targets > 0:
+		return now.Sub(e.platformAnsweredAt) >= listTimeout && now.Sub(e.sourceAnsweredAt) >= listTimeout
+	default:
+		return now.Sub(e.started) >= seedDelay && !e.awaitsPlatformList(now)
 	}
-	return (e.platformFailing || now.Sub(e.started) >= seedDelay) && !e.awaitsPlatformList(now)
 }
 
 // handleReferral records the hosts that a state update names to ask for the targets.
