Give up no target while this host lacks processor time

Cause: a host whose duties wait for processor time handles packets late and sees silence where there is none. A duty that waits for the processor cannot tell this from waiting for a packet, so the check of the socket alone did not notice. Change: the ticks of the controller show the lag; for 2 s after a late one no target is given up. Ruled out: sharing reports of silent targets along the tree, in the state updates and subscriptions.

--- a/tokenfront/controller.go
+++ b/tokenfront/controller.go
@@ -55,6 +55,7 @@
 	targetsSource dissemination.SourceTracker
 	contacts      map[pimentospread.ObjectKind]*platformContact
 	exchange      *peerExchange
+	lag           *lagMonitor
 	// ready is set once the host can handle packets.
 	ready atomic.Bool
 	// summary is the state that the metrics report.
@@ -83,12 +84,13 @@
 
 // run handles events until the context ends.
 func (ctl *controller) run(ctx context.Context) error {
-	tick := time.NewTicker(startupTickInterval)
+	interval := startupTickInterval
+	tick := time.NewTicker(interval)
 	defer tick.Stop()
-	for starting := true; ; {
-		if starting && ctl.ready.Load() {
-			starting = false
-			tick.Reset(tickInterval)
+	for {
+		if interval != tickInterval && ctl.ready.Load() {
+			interval = tickInterval
+			tick.Reset(interval)
 		}
 		select {
 		case <-ctx.Done():
@@ -97,6 +99,7 @@
 			ctl.handle(ctx, e)
 		case <-tick.C:
 			now := ctl.clock.Now()
+			ctl.lag.ticked(now, interval)
 			ctl.recordChanges(ctl.directory.Tick(now))
 			ctl.exchange.tick(ctx, now)
 		}
--- a/tokenfront/front.go
+++ b/tokenfront/front.go
@@ -200,6 +200,7 @@
 		steerer: newSteerer(s), counters: newCounters(f.metrics),
 		callerPort: f.sockets.data.Address().Port(), sampler: newFlowSampler(pimentospread.FlowID(s.FlowLogShare)),
 		settings: ring.New[settings.Settings](1, ring.DropOldest), started: f.clock.Now(),
+		lag: &lagMonitor{started: f.clock.Now()},
 	}
 	f.network = peer.NewNetwork(peer.Deps{
 		Self: s.Host, Incarnation: pimentospread.Incarnation(f.clock.Now().UnixNano()), Listener: f.sockets.peer,
@@ -218,7 +219,7 @@
 			DepartedRetention: s.FlowLifetime.Duration, ReturnGrace: s.ReturnGrace.Duration,
 		}),
 		contacts: map[pimentospread.ObjectKind]*platformContact{},
-		exchange: f.newPeerExchange(),
+		exchange: f.newPeerExchange(), lag: f.steering.lag,
 	}
 	f.addWatcher(store, platform.KindConfiguration, translateConfiguration, dissemination.CursorConfig{WatchTimeout: s.PlatformWait.Duration})
 	f.addWatcher(store, platform.KindTargets, translateTargets, dissemination.CursorConfig{WatchTimeout: s.PlatformWait.Duration})
--- a/tokenfront/steering.go
+++ b/tokenfront/steering.go
@@ -40,6 +40,7 @@
 	// is relative, because the wall clock may jump.
 	lastPacket atomic.Int64
 	backlog    backlog
+	lag        *lagMonitor
 	buffer     platform.PacketBuffer
 }
 
@@ -121,7 +122,7 @@
 		s.counters.countMalformed(err)
 		return
 	}
-	p.Delayed = s.backlog.possible(now)
+	p.Delayed = s.backlog.possible(now) || s.lag.lagging(now)
 	a := s.steerer.Steer(now, p)
 	if p.Key.ID()%s.sampler.maxDivisor == 0 {
 		s.counters.decisionTime.Update(s.clock.Now().Sub(now).Seconds())
