--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,8 @@
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
 
-# Measures the slopes of docs/CAPACITY.md again, and recomputes its figures.
+# Measures the slopes of docs/CAPACITY.md again, and recomputes its figures. Those of the
+# sweeps come from the journal: go run ./cmd/capacity sweep ENTRY...
 capacity:
 	go test -run '^$$' -bench . -benchtime 1x -count 3 -timeout 30m ./capacity > capacity/bench.txt
 	go run ./cmd/capacity record --machine "$(MACHINE)" < capacity/bench.txt > capacity/slopes.new
--- a/capacity/page.go
+++ b/capacity/page.go
@@ -32,16 +32,25 @@
 // if the page lacks the markers of a section.
 func (m *Model) Update(page string) (string, error) {
 	for section, text := range m.Sections() {
-		before, rest, found := strings.Cut(page, beginMarker(section))
-		_, after, ended := strings.Cut(rest, endMarker(section))
-		if !found || !ended {
-			return "", pimentospread.At(pimentospread.ErrInvalid.New("page has no begin and end markers of section %q", section), "update", "")
+		updated, err := replaceSection(page, section, text)
+		if err != nil {
+			return "", err
 		}
-		page = before + beginMarker(section) + "\n" + text + "\n" + endMarker(section) + after
+		page = updated
 	}
 	return page, nil
 }
 
+// replaceSection returns the page with the text of a generated section replaced.
+func replaceSection(page string, section Section, text string) (string, error) {
+	before, rest, found := strings.Cut(page, beginMarker(section))
+	_, after, ended := strings.Cut(rest, endMarker(section))
+	if !found || !ended {
+		return "", pimentospread.At(pimentospread.ErrInvalid.New("page has no begin and end markers of section %q", section), "update", "")
+	}
+	return before + beginMarker(section) + "\n" + text + "\n" + endMarker(section) + after, nil
+}
+
 // markdownTable returns rows as a Markdown table. The first row is the header.
 func markdownTable(rows [][]string) string {
 	var b strings.Builder
--- a/capacity/page_test.go
+++ b/capacity/page_test.go
@@ -44,6 +44,80 @@
 	}
 }
 
+// Fails if the figures of the sweeps on the page, or their plots, do not follow from the
+// committed ones. Run "go run ./cmd/capacity sweep ENTRY..." to update them.
+func TestSweepsOfThePageAreCurrent(t *testing.T) {
+	data, err := os.ReadFile("sweeps.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	sweeps, err := capacity.DecodeSweeps(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	page, err := os.ReadFile("../docs/CAPACITY.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	want, err := capacity.UpdateSweeps(string(page), sweeps)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(want, string(page)); diff != "" {
+		t.Errorf("docs/CAPACITY.md is not current (-want +got):\n%s", diff)
+	}
+	for _, s := range sweeps {
+		var image strings.Builder
+		if err := s.WritePlots(&image); err != nil {
+			t.Fatal(err)
+		}
+		got, err := os.ReadFile("../docs/capacity-" + s.Site + ".svg")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if image.String() != string(got) {
+			t.Errorf("the plots of %s are not current", s.Site)
+		}
+	}
+}
+
+// Guards against figures that are assigned to another size or to another figure, and
+// against growth that is computed from the wrong end.
+func TestParseSweep(t *testing.T) {
+	entry := `{"id":"ab12","cmd":"sweep","site":"s","head":"0123456789","digest":"` + strings.Join([]string{
+		"seen: 3 new connections to servers for 9 requests",
+		"day own/srv score worth served refused failed weakest part",
+		"sweep-10    10/20    0.96  0.961  0.995   0.000  0.000  worst windows 0.98",
+		"sweep-100   100/200  0.97  0.965  0.994   0.000  0.000  worst windows 0.98",
+		"middle / busiest or longest, by own machines",
+		"entry: processor %    1.0 / 2.0    1.0 / 20.0  1.0  2600",
+		"config acked, ms      40.0 / 41    40.0 / 41   0.0  41",
+	}, `\n`) + `"}`
+	got, err := capacity.ParseSweep([]byte(entry))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := capacity.Sweep{
+		Entry: "ab12", Commit: "0123456", Site: "s", Hosts: []int{10, 100},
+		Days: []capacity.SweepDay{{Targets: 20, Served: 0.995, Worth: 0.961}, {Targets: 200, Served: 0.994, Worth: 0.965}},
+		Rows: []capacity.SweepRow{
+			{Name: "entry: processor %", Middle: []float64{1, 1}, Busiest: []float64{2, 20}},
+			{Name: "config acked, ms", Middle: []float64{40, 40}, Busiest: []float64{41, 41}},
+		},
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Fatalf("sweep (-want +got):\n%s", diff)
+	}
+	if at := got.At(got.Rows[0].Busiest, 1000); at < 199 || at > 201 {
+		t.Errorf("20 at 100 hosts leads to %.1f at 1,000, want 200 at a power of 1", at)
+	}
+	for _, broken := range []string{`{"cmd":"score"}`, `{"cmd":"sweep","head":"0123456","digest":""}`, "no JSON"} {
+		if _, err := capacity.ParseSweep([]byte(broken)); err == nil {
+			t.Errorf("entry %s was accepted", broken)
+		}
+	}
+}
+
 // Guards against a slope that was measured in fewer runs than the page states.
 func TestEachSlopeHasThreeRuns(t *testing.T) {
 	data, err := os.ReadFile("slopes.json")
