--- /dev/null
+++ b/dissemination/message_test.go
@@ -0,0 +1,134 @@
+package dissemination_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"pimentospread"
+	"pimentospread/discovery"
+	"pimentospread/dissemination"
+	"pimentospread/peer"
+	"pimentospread/routing"
+)
+
+// earlierPeer and earlierStateUpdate are the messages of the release before link speeds and
+// refused lists.
+type earlierPeer struct {
+	Host          pimentospread.HostID
+	FailureDomain pimentospread.FailureDomain
+	Address       netip.AddrPort
+}
+
+type earlierPeersUpdate struct {
+	Full           bool
+	From, Revision pimentospread.ObjectVersion
+	Present        []earlierPeer
+	Removed        []pimentospread.HostID
+}
+
+type earlierStateUpdate struct {
+	Age      time.Duration
+	Path     []pimentospread.HostID
+	Position dissemination.Position
+	Updates  []discovery.Update
+	Grace    time.Duration
+	Routes   *routing.Delta
+	Peers    *earlierPeersUpdate
+	Leaves   bool
+}
+
+// laterStateUpdate is a message with a field that this release does not have.
+type laterStateUpdate struct {
+	Age       time.Duration
+	Path      []pimentospread.HostID
+	Position  dissemination.Position
+	Updates   []discovery.Update
+	Grace     time.Duration
+	Routes    *routing.Delta
+	Peers     *dissemination.PeersUpdate
+	Leaves    bool
+	Elsewhere []dissemination.Peer
+	Later     string
+}
+
+func (*laterStateUpdate) MessageKind() pimentospread.MessageKind {
+	return dissemination.KindStateUpdate
+}
+
+func (*earlierStateUpdate) MessageKind() pimentospread.MessageKind {
+	return dissemination.KindStateUpdate
+}
+
+// transfer encodes a message and decodes it as a host of another release does.
+func transfer(t *testing.T, m pimentospread.Message, into func() pimentospread.Message) pimentospread.Message {
+	t.Helper()
+	frame, err := peer.Encode("a-1", 1, m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	in, _, err := peer.Registry{m.MessageKind(): into}.Decode(frame[4:])
+	if err != nil {
+		t.Fatal(err)
+	}
+	return in.Message
+}
+
+// Guards against hosts of two releases that cannot read each other's messages, or that read
+// a field as another one, while a system is upgraded.
+func TestMessagesBetweenReleases(t *testing.T) {
+	address := netip.MustParseAddrPort("10.0.0.1:7000")
+	options := cmp.Options{cmpopts.EquateComparable(netip.AddrPort{}), cmpopts.EquateEmpty()}
+	earlier := &earlierStateUpdate{
+		Age: time.Second, Path: []pimentospread.HostID{"a-2"}, Position: dissemination.Position{Targets: 3, Configuration: 2, Peers: 1},
+		Peers: &earlierPeersUpdate{Full: true, Revision: 1, Present: []earlierPeer{{"a-1", "a", address}, {"a-2", "a", address}}},
+	}
+	current := &dissemination.StateUpdate{
+		Age: time.Second, Path: earlier.Path, Position: earlier.Position,
+		Peers: &dissemination.PeersUpdate{Full: true, Revision: 1, Present: []dissemination.Peer{
+			{Host: "a-1", FailureDomain: "a", Address: address}, {Host: "a-2", FailureDomain: "a", Address: address},
+		}},
+	}
+	got := transfer(t, earlier, func() pimentospread.Message { return &dissemination.StateUpdate{} })
+	if diff := cmp.Diff(pimentospread.Message(current), got, options); diff != "" {
+		t.Errorf("message of the earlier release (-want +got):\n%s", diff)
+	}
+	got = transfer(t, current, func() pimentospread.Message { return &earlierStateUpdate{} })
+	if diff := cmp.Diff(pimentospread.Message(earlier), got, options); diff != "" {
+		t.Errorf("message for the earlier release (-want +got):\n%s", diff)
+	}
+	current.Peers.Present[0].LinkSpeed, current.Peers.Present[1].LinkSpeed = 20, 200
+	current.Elsewhere = []dissemination.Peer{{Host: "a-3", FailureDomain: "a", Address: address, LinkSpeed: 20}}
+	got = transfer(t, current, func() pimentospread.Message { return &dissemination.StateUpdate{} })
+	if diff := cmp.Diff(pimentospread.Message(current), got, options); diff != "" {
+		t.Errorf("message with all fields (-want +got):\n%s", diff)
+	}
+	got = transfer(t, &laterStateUpdate{Leaves: true, Later: "x"}, func() pimentospread.Message { return &dissemination.StateUpdate{} })
+	if diff := cmp.Diff(pimentospread.Message(&dissemination.StateUpdate{Leaves: true}), got, options); diff != "" {
+		t.Errorf("message of a later release (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against a host that asks whatever addresses another one names, without bound.
+func TestNamedHostsAreChecked(t *testing.T) {
+	valid := dissemination.Peer{Host: "a-1", Address: netip.MustParseAddrPort("10.0.0.1:7000")}
+	tests := map[string]struct {
+		elsewhere []dissemination.Peer
+		valid     bool
+	}{
+		"three":      {[]dissemination.Peer{valid, valid, valid}, true},
+		"too many":   {[]dissemination.Peer{valid, valid, valid, valid}, false},
+		"no address": {[]dissemination.Peer{{Host: "a-1"}}, false},
+		"no name":    {[]dissemination.Peer{{Address: valid.Address}}, false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			if err := (&dissemination.StateUpdate{Elsewhere: tc.elsewhere}).Validate(); (err == nil) != tc.valid {
+				t.Errorf("error %v, want valid %t", err, tc.valid)
+			}
+		})
+	}
+}
--- a/tokenfront/fleet_scenarios_test.go
+++ b/tokenfront/fleet_scenarios_test.go
@@ -71,6 +71,39 @@
 	}
 }
 
+// Guards against hosts that miss changes because the messages of the host above them, or
+// their own to it, are lost one way, while both run and reach all others.
+func TestFleetWithOneWayCuts(t *testing.T) {
+	const bound = 3 * time.Second // the shortest bound of the users for drains and configurations
+	for _, size := range fleetSizes {
+		for _, down := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%d hosts, down the tree %t", size.hosts, down), func(t *testing.T) {
+				f := newFleet(t, size.hosts, size.domains, 20)
+				f.startAll()
+				f.run(5 * time.Second)
+				tree := dissemination.NewTree(f.peers, fanOut)
+				// The first host and a relay lose the messages to, or of, half of their followers.
+				lost := map[[2]pimentospread.HostID]bool{}
+				for _, id := range tree.Ranked()[:2] {
+					followers := tree.Followers(id)
+					for _, follower := range followers[:(len(followers)+1)/2] {
+						lost[[2]pimentospread.HostID{id, follower}] = down
+						lost[[2]pimentospread.HostID{follower, id}] = !down
+					}
+				}
+				f.cut = func(from, to pimentospread.HostID) bool { return lost[[2]pimentospread.HostID{from, to}] }
+				for i := range 5 {
+					f.change()
+					if took := f.settle(10 * time.Second); took > bound {
+						t.Errorf("change %d takes %s to all hosts, want at most %s", i, took, bound)
+					}
+					f.run(2 * time.Second)
+				}
+			})
+		}
+	}
+}
+
 // Guards against a fleet that gets no changes although some of its hosts can read the
 // platform, which rejects the calls of the others: against hosts that take a follower with
 // the same stale state as their source, and against hosts that stop reading because of
--- a/tokenfront/fleet_test.go
+++ b/tokenfront/fleet_test.go
@@ -45,6 +45,8 @@
 	revision      pimentospread.ObjectVersion
 	// rejects reports whether the platform rejects the calls of a host.
 	rejects func(pimentospread.HostID) bool
+	// cut reports whether messages from one host to another are lost.
+	cut func(from, to pimentospread.HostID) bool
 	// listDelay is the time of a whole list from the platform, whose link all hosts share, and
 	// down is set while the platform answers nothing.
 	listDelay time.Duration
@@ -132,6 +134,9 @@
 		f.t.Fatal(err)
 	}
 	f.sent[h.self.Host] += len(frame)
+	if f.cut(h.self.Host, f.peers[address.Port()-1].Host) {
+		return nil
+	}
 	f.after(messageDelay, func() {
 		to := f.hosts[f.peers[address.Port()-1].Host]
 		in, _, err := peer.Registry(dissemination.Constructors()).Decode(frame[4:])
@@ -242,6 +247,7 @@
 		t: t, now: time.Unix(1_700_000_000, 0), hosts: map[pimentospread.HostID]*fleetHost{},
 		random:  rand.New(rand.NewPCG(1, uint64(hosts))),
 		targets: map[pimentospread.RegistrationName]pimentospread.Registration{}, changedAt: map[pimentospread.RegistrationName]pimentospread.ObjectVersion{},
+		cut:     func(_, _ pimentospread.HostID) bool { return false },
 		rejects: func(pimentospread.HostID) bool { return false }, sent: map[pimentospread.HostID]int{},
 	}
 	for i := range hosts {
