--- a/dissemination/tree.go
+++ b/dissemination/tree.go
@@ -17,7 +17,7 @@
 // rank reads the platform, and the other relays follow it. Hosts with faster links rank
 // higher, so that they have the followers; hosts of one speed are ordered by a hash.
 //
-// Hosts that know the same peers derive the same tree. A host follows only hosts that
+// Hosts with the same list of peers derive the same tree. A host follows only hosts that
 // rank higher, so that hosts never follow each other in a cycle.
 type Tree struct {
 	fanOut int
--- a/publish/publisher_test.go
+++ b/publish/publisher_test.go
@@ -169,7 +169,7 @@
 }
 
 // TestPublishWhileTheReleaseIsRemoved guards against a crash of the publisher, and against
-// an outcome that it cannot know, when the release is removed after a lost answer.
+// a reported outcome that is a guess, when the release is removed after a lost answer.
 func TestPublishWhileTheReleaseIsRemoved(t *testing.T) {
 	f := newPlatform()
 	p := newPublisher(f)
--- a/steer/pattern_test.go
+++ b/steer/pattern_test.go
@@ -288,8 +288,8 @@
 			pattern{hosts: 60, targets: 120, callers: 500, failAt: 5 * time.Second, recoverAt: 5450 * time.Millisecond, full: 0.2, idempotent: true}, 0, 0,
 		},
 		// The targets of a rack have adjacent names. The aim is a third of the 183 requests that
-		// are unanswered without the rule: a host that sees few requests cannot always tell a
-		// silent target from its own full link.
+		// are unanswered without the rule: a host that sees few requests cannot always
+		// distinguish a silent target from its own full link.
 		"dark fifth in adjacent racks, 195 hosts": {
 			pattern{hosts: 195, targets: 234, callers: 1000, failAt: 5 * time.Second, lapseAt: 7300 * time.Millisecond, dark: 0.2, idempotent: true}, 183.0 / 3 / 11300, 0,
 		},
--- a/tokenfront/backlog.go
+++ b/tokenfront/backlog.go
@@ -21,7 +21,7 @@
 )
 
 // lagMonitor detects that the duties of this host wait for processor time, from the ticks of
-// the controller. A duty that waits for it cannot tell this from waiting for a packet.
+// the controller. For a duty, waiting for it looks like waiting for a packet.
 type lagMonitor struct {
 	started time.Time
 	last    time.Time
--- a/tokenfront/fleet_scenarios_test.go
+++ b/tokenfront/fleet_scenarios_test.go
@@ -233,7 +233,7 @@
 }
 
 // Guards against hosts that start while the platform is down and get no state, and against
-// the few hosts that all of them know being loaded with the lists of all.
+// the few seeds of all of them being loaded with the lists of all.
 func TestFleetStartsWhileThePlatformIsDown(t *testing.T) {
 	for _, size := range fleetSizes {
 		t.Run(fmt.Sprint(size.hosts), func(t *testing.T) {
