Log the era of the platform's store and ignored updates

After the store was restored, hosts kept an old list of targets and no line or count showed it: an update that is older than the directory was dropped in silence. The logs could not distinguish a host that ignores what it reads from one that reads nothing.

A watcher logs when it rises, and the controller logs the first of several ignored updates in a row and counts all of them (pimentospread_target_updates_ignored_total).

--- a/discovery/directory.go
+++ b/discovery/directory.go
@@ -130,6 +130,9 @@
 // Len returns the number of registered targets.
 func (d *Directory) Len() int { return len(d.entries) }
 
+// Accepts reports whether Apply applies the update.
+func (d *Directory) Accepts(u Update) bool { return u.Revision >= d.revision && d.Covers(u) }
+
 // Covers reports whether the update leaves no gap: it is full, or it starts at or
 // before the directory's revision.
 func (d *Directory) Covers(u Update) bool { return u.Full || u.From <= d.revision && d.revision > 0 }
@@ -166,7 +169,7 @@
 // Apply applies an update and returns the changes of targets. It ignores an update
 // that is older than the directory or that leaves a gap.
 func (d *Directory) Apply(now time.Time, u Update) []Change {
-	if u.Revision < d.revision || !d.Covers(u) {
+	if !d.Accepts(u) {
 		return nil
 	}
 	d.revision = u.Revision
--- a/ids.go
+++ b/ids.go
@@ -77,6 +77,11 @@
 // the object does not exist.
 type ObjectVersion uint64
 
+// Era numbers the histories of the platform's store. It rises when the store is restored
+// from an older copy, after which the store assigns revisions a second time. Zero means
+// that the store reports no era.
+type Era uint16
+
 // PublishID identifies one attempt to publish a release.
 type PublishID string
 
--- a/platform.go
+++ b/platform.go
@@ -48,6 +48,7 @@
 type Listing struct {
 	Objects  []Object
 	Revision ObjectVersion
+	Era      Era
 }
 
 // Change is an object after a write, or the last state of a deleted object.
@@ -60,6 +61,7 @@
 type Changes struct {
 	Changes  []Change
 	Revision ObjectVersion
+	Era      Era
 }
 
 // ObjectFeed lists and watches the objects of a kind.
--- a/tokenfront/controller.go
+++ b/tokenfront/controller.go
@@ -56,6 +56,10 @@
 	contacts      map[pimentospread.ObjectKind]*platformContact
 	exchange      *peerExchange
 	lag           *lagMonitor
+	// ignoredUpdates counts updates of the targets that were not applied, and ignoring is
+	// set while the last one from the platform was not.
+	ignoredUpdates pimentospread.Counter
+	ignoring       bool
 	// ready is set once the host can handle packets.
 	ready atomic.Bool
 	// summary is the state that the metrics report.
@@ -180,6 +184,7 @@
 	if ctl.directory.Revision() > 0 && now.Sub(ctl.exchange.selector.Confirmed()) > outageThreshold {
 		ctl.directory.PlatformReturned(now)
 	}
+	ctl.reportIgnored(e.update)
 	ctl.applyTargets(now, e.update)
 	ctl.targetsSource.ReadPlatform(ctl.directory.Revision())
 	for _, u := range e.invalid {
@@ -187,8 +192,23 @@
 	}
 }
 
+// reportIgnored logs the first of several updates from the platform in a row that the
+// directory does not apply.
+func (ctl *controller) reportIgnored(u discovery.Update) {
+	ignored := !ctl.directory.Accepts(u)
+	if ignored && !ctl.ignoring {
+		ctl.log.Warn("update of the targets from the platform was ignored", "revision", ctl.directory.Revision(),
+			"update_from", u.From, "update_revision", u.Revision, "full", u.Full)
+	}
+	ctl.ignoring = ignored
+}
+
 // applyTargets applies an update of the targets from any source.
 func (ctl *controller) applyTargets(now time.Time, u discovery.Update) {
+	if !ctl.directory.Accepts(u) {
+		ctl.ignoredUpdates.Add(1)
+		return
+	}
 	before := ctl.directory.Digest()
 	changes := ctl.directory.Apply(now, u)
 	ctl.exchange.distributor.RecordTargets(before, changes)
--- a/tokenfront/fleet_test.go
+++ b/tokenfront/fleet_test.go
@@ -19,6 +19,7 @@
 	"pimentospread/ring"
 	"pimentospread/routing"
 	"pimentospread/steer"
+	"pimentospread/telemetry"
 )
 
 const (
@@ -300,6 +301,8 @@
 		views:     ring.New[*steer.View](1, ring.DropOldest),
 		directory: discovery.New(discovery.Config{DepartedRetention: time.Minute, ReturnGrace: 2500 * time.Millisecond}),
 		contacts:  map[pimentospread.ObjectKind]*platformContact{},
+
+		ignoredUpdates: telemetry.NewRegistry().Counter("ignored"),
 		exchange: &peerExchange{
 			self: self, log: log, network: h, started: f.now, watcherActivations: []*ring.Ring[bool]{activations},
 			seeds:           f.seeds(i),
--- a/tokenfront/front.go
+++ b/tokenfront/front.go
@@ -220,6 +220,7 @@
 		}),
 		contacts: map[pimentospread.ObjectKind]*platformContact{},
 		exchange: f.newPeerExchange(), lag: f.steering.lag,
+		ignoredUpdates: f.metrics.Counter("pimentospread_target_updates_ignored_total"),
 	}
 	f.addWatcher(store, platform.KindConfiguration, translateConfiguration, dissemination.CursorConfig{WatchTimeout: s.PlatformWait.Duration})
 	f.addWatcher(store, platform.KindTargets, translateTargets, dissemination.CursorConfig{WatchTimeout: s.PlatformWait.Duration})
--- a/tokenfront/watcher.go
+++ b/tokenfront/watcher.go
@@ -32,7 +32,9 @@
 	// activations activates or pauses the watcher. Only the newest value counts.
 	activations *ring.Ring[bool]
 	// translate converts the objects that were read into an event.
-	translate   translator
+	translate translator
+	// era is the newest era of the platform's store that a response had.
+	era         pimentospread.Era
 	callMetrics pimentospread.HistogramMetrics
 	log         *slog.Logger
 }
@@ -87,6 +89,7 @@
 	if !w.reportResult(ctx, "list", err) {
 		return
 	}
+	w.observeEra(listing.Era, listing.Revision)
 	w.cursor.Listed(w.clock.Now(), listing.Revision)
 	changes := make([]pimentospread.Change, 0, len(listing.Objects))
 	for _, o := range listing.Objects {
@@ -109,10 +112,19 @@
 	if !w.reportResult(ctx, "watch", err) {
 		return
 	}
+	w.observeEra(changes.Era, changes.Revision)
 	w.cursor.Changed(changes.Revision, len(changes.Changes))
 	w.deliver(ctx, false, call.After, changes.Revision, changes.Changes)
 }
 
+// observeEra logs that the platform's store was restored from an older copy.
+func (w *watcher) observeEra(era pimentospread.Era, revision pimentospread.ObjectVersion) {
+	if era > w.era && w.era > 0 {
+		w.log.Warn("platform's store was restored from an older copy", "kind", w.kind, "era", era, "before", w.era, "revision", revision)
+	}
+	w.era = max(era, w.era)
+}
+
 // reportResult counts the call and reports a failure to the cursor and the controller.
 // It returns whether the call succeeded.
 func (w *watcher) reportResult(ctx context.Context, call string, err error) bool {
