Let the stand-in store be restored, and show the drain that is missed

The stand-in for the platform's store can lose its last writes (POST /admin/restore): objects return to what they were, revisions go back and are assigned again, watches from a revision that it does not have get 410, and the header Store-Era in all answers rises by one.

standin/platform.TestDrainAfterTheStoreWasRestored runs a host on it. After the restore a target registers as draining; 30 s later the host still gives it new flows.

--- a/standin/platform/handler.go
+++ b/standin/platform/handler.go
@@ -34,13 +34,16 @@
 	m.HandleFunc("GET /admin/faults", h.getFaults)
 	m.HandleFunc("PUT /admin/faults", h.putFaults)
 	m.HandleFunc("GET /admin/calls", h.getCalls)
+	m.HandleFunc("POST /admin/restore", h.restore)
 	return m
 }
 
 // result is the result of a call to the store: an object or an error.
 type result struct {
 	object pimentospread.Object
-	err    error
+	// era is the era of the store at the call.
+	era pimentospread.Era
+	err error
 	// lost is set when the call took effect and its answer must be dropped.
 	lost bool
 }
@@ -54,6 +57,7 @@
 		writeError(w, err)
 		return false
 	}
+	setEra(w, f.era)
 	return sleep(r.Context(), f.Latency.Duration) && !f.apply(w, r)
 }
 
@@ -103,7 +107,7 @@
 }
 
 func (h handler) answer(w http.ResponseWriter, r *http.Request, task func(*Store) result) {
-	a, err := owner.Do(r.Context(), h.store, task)
+	a, err := h.do(w, r, task)
 	switch {
 	case err != nil:
 		writeError(w, err)
@@ -116,6 +120,19 @@
 	}
 }
 
+// do executes a call and sets the era of the store that executed it.
+func (h handler) do(w http.ResponseWriter, r *http.Request, task func(*Store) result) (result, error) {
+	a, err := owner.Do(r.Context(), h.store, func(s *Store) result {
+		a := task(s)
+		a.era = s.era
+		return a
+	})
+	if err == nil {
+		setEra(w, a.era)
+	}
+	return a, err
+}
+
 // watch waits for an object of a kind that is newer than After, and answers 204
 // when there is none within Wait. Name restricts the watch to one object.
 func (h handler) watch(w http.ResponseWriter, r *http.Request) {
--- a/standin/platform/objects.go
+++ b/standin/platform/objects.go
@@ -34,6 +34,7 @@
 	Items      []v1Object                  `json:"items"`
 	HasMore    bool                        `json:"has_more"`
 	CurrentRev pimentospread.ObjectVersion `json:"current_rev"`
+	era        pimentospread.Era
 }
 
 type v1Event struct {
@@ -137,7 +138,7 @@
 }
 
 func (h handler) answerV1(w http.ResponseWriter, r *http.Request, task func(*Store) result) {
-	a, err := owner.Do(r.Context(), h.store, task)
+	a, err := h.do(w, r, task)
 	switch {
 	case err != nil:
 		writeError(w, err)
@@ -163,7 +164,7 @@
 	kind, after := key(r).Kind, r.URL.Query().Get("after")
 	page, err := owner.Do(r.Context(), h.store, func(s *Store) v1Page {
 		objects, more := s.List(kind, after)
-		p := v1Page{Items: []v1Object{}, HasMore: more, CurrentRev: s.revision}
+		p := v1Page{Items: []v1Object{}, HasMore: more, CurrentRev: s.revision, era: s.era}
 		for _, o := range objects {
 			p.Items = append(p.Items, toV1Object(o))
 		}
@@ -173,6 +174,7 @@
 		writeError(w, err)
 		return
 	}
+	setEra(w, page.era)
 	loopback.WriteJSON(w, http.StatusOK, page)
 }
 
@@ -184,6 +186,7 @@
 	changed <-chan struct{}
 	hidden  bool
 	lag     time.Duration
+	era     pimentospread.Era
 }
 
 // watchKind waits for changes of a kind after a revision, and answers with an
@@ -206,8 +209,9 @@
 	for {
 		v, err := owner.Do(r.Context(), h.store, func(s *Store) state {
 			changes, err := s.Since(key(r).Kind, pimentospread.ObjectVersion(after))
-			return state{changes, err, s.changed, s.faults.HideChanges, s.faults.Lag.Duration}
+			return state{changes, err, s.changed, s.faults.HideChanges, s.faults.Lag.Duration, s.era}
 		})
+		setEra(w, v.era)
 		switch {
 		case err != nil:
 			writeError(w, err)
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -26,6 +26,10 @@
 	history []pimentospread.Change
 	// compacted is the revision after which the history is complete.
 	compacted pimentospread.ObjectVersion
+	// undos holds what the last writes replaced, oldest first.
+	undos []undo
+	// era rises each time the store is restored.
+	era pimentospread.Era
 	// changed is closed and replaced at each change and compaction.
 	changed   chan struct{}
 	faults    Faults
@@ -52,6 +56,8 @@
 	RejectStatus int `json:"RejectStatus"`
 	// exceeded is set for a call that exceeds ReadsPerSecond or WritesPerSecond.
 	exceeded bool
+	// era is the era of the store at the call.
+	era pimentospread.Era
 	// PageSize is the maximum number of objects in a page of a list. Zero means 500.
 	PageSize int `json:"PageSize"`
 	// LateWrites is the number of next writes of hosts that are not answered and
@@ -94,6 +100,7 @@
 		objects: map[pimentospread.ObjectKey]pimentospread.Object{},
 		waiting: map[*watch]struct{}{},
 		changed: make(chan struct{}),
+		era:     firstEra,
 	}
 }
 
@@ -115,6 +122,7 @@
 	if found := s.objects[key].Version; found != expected {
 		return pimentospread.Object{}, pimentospread.At(pimentospread.ErrConflict.New("%s %q has version %d, not %d", key.Kind, key.Name, found, expected), "put", "")
 	}
+	s.recordUndo(key)
 	s.revision++
 	o := pimentospread.Object{ObjectKey: key, Version: s.revision, Value: value}
 	s.objects[key] = o
@@ -154,6 +162,8 @@
 // admit counts a call and returns the faults that apply to it. The rate limits do
 // not apply to stand-ins.
 func (s *Store) admit(now time.Time, count *int, standIn bool) Faults {
+	f := s.faults
+	f.era = s.era
 	switch {
 	case s.faults.Outage:
 		s.calls.Refused++
@@ -161,13 +171,11 @@
 		s.calls.StandIn++
 	case s.exceeds(now, count):
 		s.calls.Refused++
-		f := s.faults
 		f.exceeded = true
-		return f
 	default:
 		*count++
 	}
-	return s.faults
+	return f
 }
 
 // exceeds counts a call against the rate limit of reads or writes, and reports
@@ -224,6 +232,11 @@
 		s.compacted = s.history[0].Version
 		s.history = s.history[1:]
 	}
+	s.notifyWatches()
+}
+
+// notifyWatches wakes the watches that wait for a change.
+func (s *Store) notifyWatches() {
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -234,6 +247,7 @@
 	if err != nil {
 		return err
 	}
+	s.recordUndo(key)
 	delete(s.objects, key)
 	s.revision++
 	o.Version = s.revision
@@ -244,8 +258,7 @@
 // Compact drops the history, as the store of the platform may do at any time.
 func (s *Store) Compact() {
 	s.history, s.compacted = nil, s.revision
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.notifyWatches()
 }
 
 // List returns a page of the objects of a kind, ordered by name, whose names come
@@ -268,12 +281,12 @@
 }
 
 // Since returns the changes of a kind after the revision. It returns ErrExpired
-// when the history no longer holds all of them.
+// when the history does not hold all of them, or does not reach the revision.
 func (s *Store) Since(kind pimentospread.ObjectKind, after pimentospread.ObjectVersion) (pimentospread.Changes, error) {
-	if after < s.compacted {
-		return pimentospread.Changes{}, pimentospread.At(pimentospread.ErrExpired.New("history begins at revision %d, after the requested revision %d", s.compacted, after), "watch", "")
+	if after < s.compacted || after > s.revision {
+		return pimentospread.Changes{}, pimentospread.At(pimentospread.ErrExpired.New("history is from revision %d to %d, without the requested revision %d", s.compacted, s.revision, after), "watch", "")
 	}
-	changes := pimentospread.Changes{Revision: s.revision}
+	changes := pimentospread.Changes{Revision: s.revision, Era: s.era}
 	for _, c := range s.history {
 		if c.Kind == kind && c.Version > after {
 			changes.Changes = append(changes.Changes, c)
