Order the platform's versions by the era of the store

Callers saw new flows opened at targets that had left seconds ago, after the platform's store had been restored from an older copy. The store then assigns revisions again, from a lower one on. Hosts took the revision for a clock that never goes back: the directory ignored each list and each change below the revision that it had, while the answers went on confirming it.

The class of fault is a counter of a store that is used as an order of events beyond the life of the store's history. A version is now a pair of era and revision (ObjectVersion holds the era in its upper bits), made once by the client of the platform from the header Store-Era. Every comparison of versions, in the directory, the list of hosts, positions, rosters and cursors, is then right across a restore. The client also treats a watch from another era as expired, even if the store has that revision again, fails a list whose pages are of two eras, and refuses a write that expects a version of an earlier era, or reports it as uncertain if the store was restored in between.

--- a/ids.go
+++ b/ids.go
@@ -73,15 +73,6 @@
 // Generation is the number of a release of a cell. It increases with each release.
 type Generation uint64
 
-// ObjectVersion is the version that the platform assigns to an object. Zero means that
-// the object does not exist.
-type ObjectVersion uint64
-
-// Era numbers the histories of the platform's store. It rises when the store is restored
-// from an older copy, after which the store assigns revisions a second time. Zero means
-// that the store reports no era.
-type Era uint16
-
 // PublishID identifies one attempt to publish a release.
 type PublishID string
 
--- a/platform.go
+++ b/platform.go
@@ -36,8 +36,8 @@
 	Get(ctx context.Context, key ObjectKey) (Object, error)
 	// Put writes the value if the object still has the expected version, and returns
 	// the new version. An expected version of zero creates the object. Put returns
-	// ErrConflict if the version differs, and ErrUncertain if no answer arrived, in
-	// which case the write may have happened.
+	// ErrConflict if the version differs, and ErrUncertain if no answer arrived or the
+	// platform was restored meanwhile, in which case the write may have happened.
 	Put(ctx context.Context, key ObjectKey, value json.RawMessage, expected ObjectVersion) (ObjectVersion, error)
 	// Watch waits until the version of the object is greater than after and returns the
 	// object. It returns ErrTimeout if the platform ends the wait without a change.
@@ -48,7 +48,6 @@
 type Listing struct {
 	Objects  []Object
 	Revision ObjectVersion
-	Era      Era
 }
 
 // Change is an object after a write, or the last state of a deleted object.
@@ -61,7 +60,6 @@
 type Changes struct {
 	Changes  []Change
 	Revision ObjectVersion
-	Era      Era
 }
 
 // ObjectFeed lists and watches the objects of a kind.
@@ -70,7 +68,8 @@
 	List(ctx context.Context, kind ObjectKind) (Listing, error)
 	// Changes waits for changes after the revision, for at most the given time. If there
 	// are none, it returns only a revision to continue from. It returns ErrExpired if
-	// the platform no longer has the history; the caller then lists again.
+	// the platform no longer has the history, or was restored since the revision; the
+	// caller then lists again.
 	Changes(ctx context.Context, kind ObjectKind, after ObjectVersion, wait time.Duration) (Changes, error)
 }
 
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -286,7 +286,7 @@
 	if after < s.compacted || after > s.revision {
 		return pimentospread.Changes{}, pimentospread.At(pimentospread.ErrExpired.New("history is from revision %d to %d, without the requested revision %d", s.compacted, s.revision, after), "watch", "")
 	}
-	changes := pimentospread.Changes{Revision: s.revision, Era: s.era}
+	changes := pimentospread.Changes{Revision: s.revision}
 	for _, c := range s.history {
 		if c.Kind == kind && c.Version > after {
 			changes.Changes = append(changes.Changes, c)
--- a/tokenfront/health.go
+++ b/tokenfront/health.go
@@ -72,7 +72,8 @@
 // registerGauges registers the gauges that read the state of the host.
 func (f *Front) registerGauges() {
 	f.metrics.Gauge("pimentospread_configuration_version", f.gauge(func(s *summary) float64 { return float64(s.version) }))
-	f.metrics.Gauge("pimentospread_platform_revision", f.gauge(func(s *summary) float64 { return float64(s.revision) }))
+	f.metrics.Gauge("pimentospread_platform_revision", f.gauge(func(s *summary) float64 { return float64(s.revision.Revision()) }))
+	f.metrics.Gauge("pimentospread_platform_era", f.gauge(func(s *summary) float64 { return float64(s.revision.Era()) }))
 	f.metrics.Gauge("pimentospread_targets", f.gauge(func(s *summary) float64 { return float64(s.targets) }))
 	f.metrics.Gauge("pimentospread_belief_age_seconds", f.gauge(func(s *summary) float64 { return f.clock.Now().Sub(s.confirmed).Seconds() }))
 	f.metrics.Gauge("pimentospread_hosts", f.gauge(func(s *summary) float64 { return float64(s.hosts) }))
--- a/tokenfront/steering.go
+++ b/tokenfront/steering.go
@@ -169,7 +169,7 @@
 	}
 	if v := s.steerer.View(); v != nil {
 		attributes = append(attributes,
-			slog.Uint64("configuration", uint64(v.Version)), slog.Uint64("revision", uint64(v.Revision)),
+			slog.Uint64("configuration", uint64(v.Version)), slog.Uint64("revision", v.Revision.Revision()),
 			slog.Duration("age", v.Age(now)), slog.Int("targets", v.Targets()))
 	}
 	s.log.LogAttrs(context.Background(), slog.LevelInfo, "flow", attributes...)
--- a/tokenfront/watcher.go
+++ b/tokenfront/watcher.go
@@ -33,7 +33,7 @@
 	activations *ring.Ring[bool]
 	// translate converts the objects that were read into an event.
 	translate translator
-	// era is the newest era of the platform's store that a response had.
+	// era is the era of the last response.
 	era         pimentospread.Era
 	callMetrics pimentospread.HistogramMetrics
 	log         *slog.Logger
@@ -89,7 +89,7 @@
 	if !w.reportResult(ctx, "list", err) {
 		return
 	}
-	w.observeEra(listing.Era, listing.Revision)
+	w.observeEra(listing.Revision)
 	w.cursor.Listed(w.clock.Now(), listing.Revision)
 	changes := make([]pimentospread.Change, 0, len(listing.Objects))
 	for _, o := range listing.Objects {
@@ -112,17 +112,17 @@
 	if !w.reportResult(ctx, "watch", err) {
 		return
 	}
-	w.observeEra(changes.Era, changes.Revision)
 	w.cursor.Changed(changes.Revision, len(changes.Changes))
 	w.deliver(ctx, false, call.After, changes.Revision, changes.Changes)
 }
 
 // observeEra logs that the platform's store was restored from an older copy.
-func (w *watcher) observeEra(era pimentospread.Era, revision pimentospread.ObjectVersion) {
+func (w *watcher) observeEra(revision pimentospread.ObjectVersion) {
+	era := revision.Era()
 	if era > w.era && w.era > 0 {
 		w.log.Warn("platform's store was restored from an older copy", "kind", w.kind, "era", era, "before", w.era, "revision", revision)
 	}
-	w.era = max(era, w.era)
+	w.era = era
 }
 
 // reportResult counts the call and reports a failure to the cursor and the controller.
