Keep targets that a restored store lacks for the grace period

A store that comes back from an older copy lacks the targets that have registered since; they register again within about two seconds. The grace period for missing targets started only if the host's state was older than 2 s, so after an absence of a second the host dropped such targets at once: new flows avoided them, and a flow whose handshake was in progress lost its target from the list.

The first update of a later era starts the grace period in the directory itself, whichever host it came from. The cases "a restored store lacks a target ..." and "changes that lead to a restored store" of discovery.TestApply failed before with "gone" in place of "missing".

--- a/discovery/directory.go
+++ b/discovery/directory.go
@@ -168,10 +168,18 @@
 
 // Apply applies an update and returns the changes of targets. It ignores an update
 // that is older than the directory or that leaves a gap.
+//
+// A store that was restored from an older copy lacks targets that have registered since,
+// until they register again. The first update after a restore therefore starts the grace
+// period.
 func (d *Directory) Apply(now time.Time, u Update) []Change {
 	if !d.Accepts(u) {
 		return nil
 	}
+	restored := d.revision > 0 && u.Revision.Era() > d.revision.Era()
+	if restored {
+		d.ExtendGrace(now, d.config.ReturnGrace)
+	}
 	d.revision = u.Revision
 	var changes []Change
 	present := make(map[pimentospread.RegistrationName]bool, len(u.Present))
--- a/discovery/directory_test.go
+++ b/discovery/directory_test.go
@@ -36,6 +36,11 @@
 	return r
 }
 
+// restored returns the version of a revision after the store was restored.
+func restored(revision uint64) pimentospread.ObjectVersion {
+	return pimentospread.NewObjectVersion(1, revision)
+}
+
 type step struct {
 	at time.Duration
 	// returned is set if the platform has come back from an outage before the update.
@@ -58,7 +63,7 @@
 }
 
 // Guards against going back to an older list, against applying changes over a gap,
-// and against dropping targets because of a platform outage.
+// and against dropping targets because of a platform outage or of a store that was restored.
 func TestApply(t *testing.T) {
 	tests := map[string][]step{
 		"a list and changes to it": {
@@ -112,6 +117,25 @@
 			{update: full(1, draining("a")), changes: []string{"a added"}},
 			{at: time.Second, returned: true, update: full(2), changes: []string{"a gone"}},
 		},
+		"a restored store lacks a target that registers again": {
+			{update: full(9, registration("a"), registration("b")), changes: []string{"a added", "b added"}},
+			{at: time.Second, update: full(restored(3), registration("a")), changes: []string{"b missing"}},
+			{at: 2 * time.Second, update: delta(restored(3), restored(4), "", registration("b")), changes: []string{"b returned"}},
+			{at: 9 * time.Second, update: delta(restored(4), restored(4), "")},
+		},
+		"a restored store lacks a target that is gone": {
+			{update: full(9, registration("a"), registration("b")), changes: []string{"a added", "b added"}},
+			{at: time.Second, update: full(restored(3), registration("a")), changes: []string{"b missing"}},
+			{at: 4 * time.Second, update: delta(restored(3), restored(3), ""), changes: []string{"b gone"}},
+		},
+		"changes that lead to a restored store": {
+			{update: full(9, registration("a"), registration("b")), changes: []string{"a added", "b added"}},
+			{at: time.Second, update: delta(9, restored(3), "b", registration("c")), changes: []string{"c added", "b missing"}},
+		},
+		"a store that reports its era for the first time": {
+			{update: full(8, registration("a")), changes: []string{"a added"}},
+			{at: time.Second, update: full(pimentospread.NewObjectVersion(1, 8), registration("a"))},
+		},
 	}
 	for name, steps := range tests {
 		t.Run(name, func(t *testing.T) {
