Do not reuse targets that a restored store lists as ready again

A store that comes back from an older copy lists targets as ready that were acknowledged as draining, or that were removed, after the copy was made. Hosts took the list as it was: a target that had left got new flows again, until its entry lapsed or it wrote its state again.

The first list of a later era does not make a draining or departed process of a target ready again. The directory logs it as "target outdated".

discovery.TestApply, cases "a restored store lists a draining target as ready", "... lists a departed target", "... has the earlier process of a restarted target" and "a departed target that runs registers again", failed before: the target was ready or added again.

--- a/discovery/directory.go
+++ b/discovery/directory.go
@@ -100,6 +100,9 @@
 	Returned ChangeKind = "returned"
 	// Departed is a target that departed.
 	Departed ChangeKind = "gone"
+	// Outdated is a registration of a restored store that is older than the state of the
+	// target. It is not applied.
+	Outdated ChangeKind = "outdated"
 	// Changed is any other difference, such as another number of slots.
 	Changed ChangeKind = "changed"
 )
@@ -170,8 +173,9 @@
 // that is older than the directory or that leaves a gap.
 //
 // A store that was restored from an older copy lacks targets that have registered since,
-// until they register again. The first update after a restore therefore starts the grace
-// period.
+// until they register again, and lists targets as ready that are draining or have departed
+// since. The first update after a restore therefore starts the grace period, and a list
+// does not make such a target ready again.
 func (d *Directory) Apply(now time.Time, u Update) []Change {
 	if !d.Accepts(u) {
 		return nil
@@ -184,6 +188,11 @@
 	var changes []Change
 	present := make(map[pimentospread.RegistrationName]bool, len(u.Present))
 	for _, r := range u.Present {
+		if restored && u.Full && d.isOutdated(r) {
+			present[r.Name] = d.entries[r.Name].token == r.Token()
+			changes = append(changes, Change{r, Outdated})
+			continue
+		}
 		present[r.Name] = true
 		changes = d.put(changes, now, r)
 	}
@@ -200,6 +209,17 @@
 	return changes
 }
 
+// isOutdated reports whether the registration precedes what the directory has: its target
+// has departed, or it is draining and does not become ready again.
+func (d *Directory) isOutdated(r pimentospread.Registration) bool {
+	token := r.Token()
+	if _, gone := d.departed[token]; gone {
+		return true
+	}
+	e := d.entries[r.Name]
+	return e.token == token && e.registration.Draining && !r.Draining
+}
+
 // put adds or replaces a registration and appends the change, if any.
 func (d *Directory) put(changes []Change, now time.Time, r pimentospread.Registration) []Change {
 	old, known := d.entries[r.Name]
--- a/discovery/directory_test.go
+++ b/discovery/directory_test.go
@@ -63,7 +63,8 @@
 }
 
 // Guards against going back to an older list, against applying changes over a gap,
-// and against dropping targets because of a platform outage or of a store that was restored.
+// against dropping targets because of a platform outage or of a store that was restored,
+// and against new flows to targets that were leaving before the restore.
 func TestApply(t *testing.T) {
 	tests := map[string][]step{
 		"a list and changes to it": {
@@ -132,6 +133,30 @@
 			{update: full(9, registration("a"), registration("b")), changes: []string{"a added", "b added"}},
 			{at: time.Second, update: delta(9, restored(3), "b", registration("c")), changes: []string{"c added", "b missing"}},
 		},
+		"a restored store lists a draining target as ready": {
+			{update: full(9, draining("a")), changes: []string{"a added"}},
+			{at: time.Second, update: full(restored(3), registration("a")), changes: []string{"a outdated"}},
+			{at: 2 * time.Second, update: delta(restored(3), restored(4), "", draining("a"))},
+			{at: 3 * time.Second, update: delta(restored(4), restored(5), "a"), changes: []string{"a gone"}},
+		},
+		"a restored store lists a departed target": {
+			{update: full(8, registration("a"), draining("b")), changes: []string{"a added", "b added"}},
+			{at: time.Second, update: delta(8, 9, "b"), changes: []string{"b gone"}},
+			{at: 2 * time.Second, update: full(restored(3), registration("a"), registration("b")), changes: []string{"b outdated"}},
+			{at: 3 * time.Second, update: delta(restored(3), restored(4), "b")},
+		},
+		"a departed target that runs registers again": {
+			{update: full(8, registration("a")), changes: []string{"a added"}},
+			{at: time.Second, update: delta(8, 9, "a"), changes: []string{"a gone"}},
+			{at: 2 * time.Second, update: full(restored(3), registration("a")), changes: []string{"a outdated"}},
+			{at: 3 * time.Second, update: full(restored(3), registration("a")), changes: []string{"a added"}},
+		},
+		"a restored store has the earlier process of a restarted target": {
+			{update: full(8, registration("a")), changes: []string{"a added"}},
+			{at: time.Second, update: delta(8, 9, "", restarted("a")), changes: []string{"a restarted"}},
+			{at: 2 * time.Second, update: full(restored(3), registration("a")), changes: []string{"a outdated", "a missing"}},
+			{at: 3 * time.Second, update: delta(restored(3), restored(4), "", restarted("a")), changes: []string{"a returned"}},
+		},
 		"a store that reports its era for the first time": {
 			{update: full(8, registration("a")), changes: []string{"a added"}},
 			{at: time.Second, update: full(pimentospread.NewObjectVersion(1, 8), registration("a"))},
