Do not count ignored updates as a confirmation

A host that ignored what it read from the platform went on counting its state as up to date with each answer. Its followers took the state for fresh, and no host looked for another source: this is why the whole fleet, and not only the reader, missed the drains after a restore.

While the last update from the platform was not applied, its answers do not advance the time at which the state was confirmed. The state of the reader then becomes stale, and its followers and the host itself turn to others.

tokenfront.TestIgnoredUpdatesConfirmNothing failed before (confirmed 1 s later than the last applied update).

--- a/tokenfront/controller.go
+++ b/tokenfront/controller.go
@@ -57,7 +57,7 @@
 	exchange      *peerExchange
 	lag           *lagMonitor
 	// ignoredUpdates counts updates of the targets that were not applied, and ignoring is
-	// set while the last one from the platform was not.
+	// set while the last one from the platform was not. Its answers then confirm nothing.
 	ignoredUpdates pimentospread.Counter
 	ignoring       bool
 	// ready is set once the host can handle packets.
@@ -157,7 +157,7 @@
 // routes and targets have been received from the platform.
 func (ctl *controller) confirmFromPlatform(ctx context.Context) {
 	routes, targets := ctl.contacts[platform.KindConfiguration], ctl.contacts[platform.KindTargets]
-	if routes == nil || targets == nil || ctl.directory.Revision() == 0 || ctl.table.Version() == 0 {
+	if routes == nil || targets == nil || ctl.directory.Revision() == 0 || ctl.table.Version() == 0 || ctl.ignoring {
 		return
 	}
 	confirmed := routes.lastAnswer
--- a/tokenfront/peer_exchange_test.go
+++ b/tokenfront/peer_exchange_test.go
@@ -100,6 +100,27 @@
 	}
 }
 
+// Guards against a host that counts its state as up to date while it ignores what it reads
+// from the platform. Its followers took that state for fresh, and none of them looked for
+// another source.
+func TestIgnoredUpdatesConfirmNothing(t *testing.T) {
+	f := newFleet(t, 1, 1, 3)
+	f.startAll()
+	f.run(2 * time.Second)
+	h := f.hosts[f.peers[0].Host]
+	confirmed := h.controller.exchange.selector.Confirmed()
+	f.revision -= 2
+	f.run(time.Second)
+	if got := h.controller.exchange.selector.Confirmed(); !got.Equal(confirmed) {
+		t.Errorf("the state counts as confirmed %s after it was, although the updates since are ignored", got.Sub(confirmed))
+	}
+	f.revision += 2
+	f.run(time.Second)
+	if got := f.now.Sub(h.controller.exchange.selector.Confirmed()); got > pollInterval {
+		t.Errorf("the state was last confirmed %s ago, want at most %s after updates are applied again", got, pollInterval)
+	}
+}
+
 // Guards against platform entries of lost hosts that stay, whichever host is lost, and
 // against the removal of entries of hosts that are alive.
 func TestEntriesOfLostHostsAreRemoved(t *testing.T) {
