--- a/tokenfront/fleet_test.go
+++ b/tokenfront/fleet_test.go
@@ -221,6 +221,10 @@
 		}
 		return
 	}
+	// A watch from an earlier era expires, and the host lists again.
+	if h.read.Era() != f.revision.Era() {
+		h.read = 0
+	}
 	u := discovery.Update{Full: h.read == 0, From: h.read, Revision: f.revision}
 	for name, at := range f.changedAt {
 		r, present := f.targets[name]
@@ -233,7 +237,7 @@
 		}
 	}
 	if h.read == 0 {
-		h.handle(hostsUpdate{dissemination.PeersUpdate{Full: true, Revision: 1, Present: f.peers}})
+		h.handle(hostsUpdate{dissemination.PeersUpdate{Full: true, Revision: pimentospread.NewObjectVersion(f.revision.Era(), 1), Present: f.peers}})
 	}
 	h.read = f.revision
 	h.handle(configurationUpdate{f.configuration})
