Exchange eras in a form that the last release can read

Versions with the era in their upper bits went over the links between hosts as they are.

On the wire a version is its revision again, and the eras follow in a field that earlier releases skip: at the end of a state update, and in a subscription that is encoded as a map, since an array of another length is rejected. Versions without an era get that of the receiver, until the store was restored while the receiver ran: hosts of the last release do not notice a restore, and their state is then left aside.

dissemination.TestSubscriptionsBetweenReleases, TestMessagesBetweenReleases and TestAssumeEras encode and decode with the types of both releases; tokenfront.TestStateOfAnEarlierRelease covers the receiver. The watcher logs a restore also for a store whose first era is 0.

--- a/dissemination/compatibility.go
+++ b/dissemination/compatibility.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/vmihailenco/msgpack/v5"
+	"github.com/vmihailenco/msgpack/v5/msgpcode"
 
 	"pimentospread"
 )
@@ -13,6 +14,7 @@
 const (
 	firstPeerFields        = 3
 	firstStateUpdateFields = 8
+	firstSubscribeFields   = 7
 )
 
 // EncodeMsgpack encodes the host.
@@ -47,18 +49,22 @@
 
 // EncodeMsgpack encodes the message.
 func (m *StateUpdate) EncodeMsgpack(e *msgpack.Encoder) error {
-	n := firstStateUpdateFields
-	if len(m.Elsewhere) > 0 {
-		n++
+	m, eras := m.withoutEras()
+	added := []any{m.Elsewhere, eras}
+	switch {
+	case eras != nil:
+	case len(m.Elsewhere) > 0:
+		added = added[:1]
+	default:
+		added = nil
 	}
-	if err := e.EncodeArrayLen(n); err != nil {
+	if err := e.EncodeArrayLen(firstStateUpdateFields + len(added)); err != nil {
 		return err
 	}
-	err := e.EncodeMulti(m.Age, m.Path, m.Position, m.Updates, m.Grace, m.Routes, m.Peers, m.Leaves)
-	if err != nil || n == firstStateUpdateFields {
+	if err := e.EncodeMulti(m.Age, m.Path, m.Position, m.Updates, m.Grace, m.Routes, m.Peers, m.Leaves); err != nil {
 		return err
 	}
-	return e.Encode(m.Elsewhere)
+	return e.EncodeMulti(added...)
 }
 
 // DecodeMsgpack decodes the message.
@@ -71,10 +77,57 @@
 	if err != nil || n == firstStateUpdateFields {
 		return err
 	}
-	if err := d.Decode(&m.Elsewhere); err != nil {
+	if err := d.Decode(&m.Elsewhere); err != nil || n == firstStateUpdateFields+1 {
+		return err
+	}
+	var eras []pimentospread.Era
+	if err := d.Decode(&eras); err != nil {
+		return err
+	}
+	if err := addEras(m.versions(), eras); err != nil {
+		return err
+	}
+	return skip(d, n-firstStateUpdateFields-2)
+}
+
+// subscribeFields is a subscription as hosts of earlier releases read it: as an array of
+// exactly these fields, or as a map that may have more.
+type subscribeFields Subscribe
+
+// EncodeMsgpack encodes the message. With eras it is a map, because hosts of earlier
+// releases reject an array with a further field.
+func (m *Subscribe) EncodeMsgpack(e *msgpack.Encoder) error {
+	m, eras := m.withoutEras()
+	if eras == nil {
+		return e.Encode((*subscribeFields)(m))
+	}
+	if err := e.EncodeMapLen(firstSubscribeFields + 1); err != nil {
+		return err
+	}
+	return e.EncodeMulti("Address", m.Address, "Position", m.Position, "TargetsDigest", m.TargetsDigest, "PeersDigest", m.PeersDigest,
+		"Age", m.Age, "Once", m.Once, "Leaves", m.Leaves, "Eras", eras)
+}
+
+// DecodeMsgpack decodes the message.
+func (m *Subscribe) DecodeMsgpack(d *msgpack.Decoder) error {
+	var fields struct {
+		subscribeFields
+		Eras []pimentospread.Era `msgpack:"Eras"`
+	}
+	code, err := d.PeekCode()
+	if err != nil {
+		return err
+	}
+	if msgpcode.IsFixedMap(code) {
+		err = d.Decode(&fields)
+	} else {
+		err = d.Decode(&fields.subscribeFields)
+	}
+	if err != nil {
 		return err
 	}
-	return skip(d, n-firstStateUpdateFields-1)
+	*m = Subscribe(fields.subscribeFields)
+	return addEras(m.versions(), fields.Eras)
 }
 
 // decodeLength decodes the number of fields and checks that those of the first release are
--- a/dissemination/message_test.go
+++ b/dissemination/message_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"pimentospread"
 	"pimentospread/discovery"
@@ -52,9 +53,32 @@
 	Peers     *dissemination.PeersUpdate
 	Leaves    bool
 	Elsewhere []dissemination.Peer
+	Eras      []pimentospread.Era
 	Later     string
 }
 
+// earlierSubscribe and laterSubscribe are subscriptions of the release before eras, and of
+// one with a field that this release does not have.
+type earlierSubscribe struct {
+	Address                    netip.AddrPort
+	Position                   dissemination.Position
+	TargetsDigest, PeersDigest pimentospread.Digest
+	Age                        time.Duration
+	Once, Leaves               bool
+}
+
+type laterSubscribe struct {
+	earlierSubscribe
+	Later string
+}
+
+func (*earlierSubscribe) MessageKind() pimentospread.MessageKind { return dissemination.KindSubscribe }
+
+// EncodeMsgpack encodes the message as a map, as this release does with eras.
+func (m *laterSubscribe) EncodeMsgpack(e *msgpack.Encoder) error {
+	return e.EncodeMap(map[string]any{"Address": m.Address, "Age": m.Age, "Later": m.Later})
+}
+
 func (*laterStateUpdate) MessageKind() pimentospread.MessageKind {
 	return dissemination.KindStateUpdate
 }
@@ -106,12 +130,82 @@
 	if diff := cmp.Diff(pimentospread.Message(current), got, options); diff != "" {
 		t.Errorf("message with all fields (-want +got):\n%s", diff)
 	}
+	current.Updates = []discovery.Update{{From: pimentospread.NewObjectVersion(1, 93), Revision: pimentospread.NewObjectVersion(2, 42)}}
+	current.Position.Targets, current.Peers.Revision = pimentospread.NewObjectVersion(2, 42), pimentospread.NewObjectVersion(1, 7)
+	got = transfer(t, current, func() pimentospread.Message { return &dissemination.StateUpdate{} })
+	if diff := cmp.Diff(pimentospread.Message(current), got, options); diff != "" {
+		t.Errorf("message with eras (-want +got):\n%s", diff)
+	}
 	got = transfer(t, &laterStateUpdate{Leaves: true, Later: "x"}, func() pimentospread.Message { return &dissemination.StateUpdate{} })
 	if diff := cmp.Diff(pimentospread.Message(&dissemination.StateUpdate{Leaves: true}), got, options); diff != "" {
 		t.Errorf("message of a later release (-want +got):\n%s", diff)
 	}
 }
 
+// Guards against subscriptions that a host of another release cannot read, and against
+// versions that get the era of another message.
+func TestSubscriptionsBetweenReleases(t *testing.T) {
+	options := cmp.Options{cmpopts.EquateComparable(netip.AddrPort{}), cmpopts.EquateEmpty()}
+	address := netip.MustParseAddrPort("10.0.0.1:7000")
+	earlier := &earlierSubscribe{
+		Address: address, Position: dissemination.Position{Targets: 3, Configuration: 2, Peers: 1},
+		TargetsDigest: 7, PeersDigest: 8, Age: time.Second, Once: true,
+	}
+	current := &dissemination.Subscribe{
+		Address: address, Position: earlier.Position, TargetsDigest: 7, PeersDigest: 8, Age: time.Second, Once: true,
+	}
+	withEras := *current
+	withEras.Position.Targets, withEras.Position.Peers = pimentospread.NewObjectVersion(2, 3), pimentospread.NewObjectVersion(1, 1)
+	newCurrent := func() pimentospread.Message { return &dissemination.Subscribe{} }
+	newEarlier := func() pimentospread.Message { return &earlierSubscribe{} }
+	tests := map[string]struct {
+		message, want pimentospread.Message
+		into          func() pimentospread.Message
+	}{
+		"of the earlier release":               {earlier, current, newCurrent},
+		"for the earlier release":              {current, earlier, newEarlier},
+		"with eras":                            {&withEras, &withEras, newCurrent},
+		"with eras, for the earlier release":   {&withEras, earlier, newEarlier},
+		"of a later release with a field more": {&laterSubscribe{earlierSubscribe{Address: address}, "x"}, &dissemination.Subscribe{Address: address}, newCurrent},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			got := transfer(t, tc.message, tc.into)
+			if diff := cmp.Diff(tc.want, got, options); diff != "" {
+				t.Errorf("message (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// Guards against state of a host of an earlier release that counts as older than all that
+// this host has, because that host sends no eras.
+func TestAssumeEras(t *testing.T) {
+	position := dissemination.Position{Targets: pimentospread.NewObjectVersion(3, 90), Peers: pimentospread.NewObjectVersion(2, 9)}
+	update := &dissemination.StateUpdate{
+		Position: dissemination.Position{Targets: 93, Peers: 7}, Updates: []discovery.Update{{From: 90, Revision: 93}, {Full: true, Revision: 93}},
+	}
+	if update.HasEras() {
+		t.Error("the message of an earlier release has eras")
+	}
+	update.AssumeEras(position)
+	want := &dissemination.StateUpdate{
+		Position: dissemination.Position{Targets: pimentospread.NewObjectVersion(3, 93), Peers: pimentospread.NewObjectVersion(2, 7)},
+		Updates: []discovery.Update{
+			{From: pimentospread.NewObjectVersion(3, 90), Revision: pimentospread.NewObjectVersion(3, 93)},
+			{Full: true, Revision: pimentospread.NewObjectVersion(3, 93)},
+		},
+	}
+	if diff := cmp.Diff(want, update); diff != "" || !update.HasEras() {
+		t.Errorf("message (-want +got):\n%s", diff)
+	}
+	subscribe := &dissemination.Subscribe{Position: dissemination.Position{Targets: 93}}
+	subscribe.AssumeEras(position)
+	if diff := cmp.Diff(dissemination.Position{Targets: pimentospread.NewObjectVersion(3, 93)}, subscribe.Position); diff != "" {
+		t.Errorf("position of the subscription (-want +got):\n%s", diff)
+	}
+}
+
 // Guards against a host that asks whatever addresses another one names, without bound.
 func TestNamedHostsAreChecked(t *testing.T) {
 	valid := dissemination.Peer{Host: "a-1", Address: netip.MustParseAddrPort("10.0.0.1:7000")}
--- a/tokenfront/controller.go
+++ b/tokenfront/controller.go
@@ -209,8 +209,9 @@
 		ctl.ignoredUpdates.Add(1)
 		return
 	}
-	before := ctl.directory.Digest()
+	before, revision := ctl.directory.Digest(), ctl.directory.Revision()
 	changes := ctl.directory.Apply(now, u)
+	ctl.exchange.restored = ctl.exchange.restored || revision > 0 && u.Revision.Era() > revision.Era()
 	ctl.exchange.distributor.RecordTargets(before, changes)
 	ctl.recordChanges(changes)
 }
@@ -273,6 +274,9 @@
 func (ctl *controller) handleMessage(ctx context.Context, in pimentospread.Inbound) {
 	switch m := in.Message.(type) {
 	case *dissemination.Subscribe:
+		if !ctl.exchange.restored {
+			m.AssumeEras(ctl.sharedState().Position())
+		}
 		ctl.exchange.handleSubscribe(ctx, ctl.clock.Now(), in.From, m, ctl.sharedState())
 	case *dissemination.StateUpdate:
 		ctl.handleStateUpdate(ctx, in.From, m)
@@ -289,6 +293,13 @@
 		ctl.exchange.handlePeerLeft(ctx, now, from)
 		return
 	}
+	position := ctl.sharedState().Position()
+	if ctl.exchange.restored && position.Targets.Era() > 0 && !m.HasEras() {
+		// A host of an earlier release does not notice that the store was restored.
+		ctl.exchange.selector.ReceivedMessage(now, from)
+		return
+	}
+	m.AssumeEras(position)
 	if now.Sub(ctl.exchange.selector.Confirmed()) > outageThreshold && ctl.directory.Revision() > 0 {
 		ctl.directory.PlatformReturned(now)
 	}
--- a/tokenfront/peer_exchange.go
+++ b/tokenfront/peer_exchange.go
@@ -99,6 +99,9 @@
 	// referred are the hosts that a seed named to ask instead of itself, and asked those that
 	// were asked last.
 	referred, asked map[pimentospread.HostID]netip.AddrPort
+	// restored is set once the platform's store was restored while this host ran. Versions
+	// that hosts of earlier releases send without an era are ambiguous from then on.
+	restored bool
 	// platformFailing is set from a failed call to the platform until one succeeds.
 	platformFailing bool
 	peers           dissemination.Peers
--- a/tokenfront/peer_exchange_test.go
+++ b/tokenfront/peer_exchange_test.go
@@ -121,6 +121,40 @@
 	}
 }
 
+// Guards against a host that ignores what hosts of an earlier release send, because they
+// send no eras, and against one that takes their state for the newer one after the store
+// was restored, which those hosts do not notice.
+func TestStateOfAnEarlierRelease(t *testing.T) {
+	for _, restored := range []bool{false, true} {
+		f := newFleet(t, 2, 1, 3)
+		f.revision = pimentospread.NewObjectVersion(1, 50)
+		f.startAll()
+		f.run(2 * time.Second)
+		if restored {
+			f.restore(f.copyState())
+			f.run(time.Second)
+		}
+		source := dissemination.NewTree(f.peers, fanOut).Ranked()[0]
+		follower := f.hosts[f.peers[0].Host]
+		if follower.self.Host == source {
+			follower = f.hosts[f.peers[1].Host]
+		}
+		position := follower.controller.sharedState().Position()
+		before := position.Targets
+		position.Targets, position.Peers = pimentospread.NewObjectVersion(0, before.Revision()+7), 0
+		follower.handle(peerMessage{pimentospread.Inbound{From: source, Message: &dissemination.StateUpdate{
+			Position: position, Updates: []discovery.Update{{Full: true, Revision: position.Targets}},
+		}}})
+		want := pimentospread.NewObjectVersion(1, before.Revision()+7)
+		if restored {
+			want = before
+		}
+		if got := follower.controller.directory.Revision(); got != want {
+			t.Errorf("restored %t: version (%d, %d), want (%d, %d)", restored, got.Era(), got.Revision(), want.Era(), want.Revision())
+		}
+	}
+}
+
 // Guards against platform entries of lost hosts that stay, whichever host is lost, and
 // against the removal of entries of hosts that are alive.
 func TestEntriesOfLostHostsAreRemoved(t *testing.T) {
--- a/tokenfront/watcher.go
+++ b/tokenfront/watcher.go
@@ -33,8 +33,8 @@
 	activations *ring.Ring[bool]
 	// translate converts the objects that were read into an event.
 	translate translator
-	// era is the era of the last response.
-	era         pimentospread.Era
+	// revision is that of the last list. Zero means that nothing was listed yet.
+	revision    pimentospread.ObjectVersion
 	callMetrics pimentospread.HistogramMetrics
 	log         *slog.Logger
 }
@@ -89,7 +89,7 @@
 	if !w.reportResult(ctx, "list", err) {
 		return
 	}
-	w.observeEra(listing.Revision)
+	w.logRestore(listing.Revision)
 	w.cursor.Listed(w.clock.Now(), listing.Revision)
 	changes := make([]pimentospread.Change, 0, len(listing.Objects))
 	for _, o := range listing.Objects {
@@ -116,13 +116,13 @@
 	w.deliver(ctx, false, call.After, changes.Revision, changes.Changes)
 }
 
-// observeEra logs that the platform's store was restored from an older copy.
-func (w *watcher) observeEra(revision pimentospread.ObjectVersion) {
-	era := revision.Era()
-	if era > w.era && w.era > 0 {
-		w.log.Warn("platform's store was restored from an older copy", "kind", w.kind, "era", era, "before", w.era, "revision", revision)
+// logRestore logs that the platform's store was restored from an older copy since the last
+// list. A watch across a restore expires, so that the first answer after it is a list.
+func (w *watcher) logRestore(revision pimentospread.ObjectVersion) {
+	if w.revision > 0 && revision.Era() > w.revision.Era() {
+		w.log.Warn("platform's store was restored from an older copy", "kind", w.kind, "era", revision.Era(), "before", w.revision.Era(), "revision", revision)
 	}
-	w.era = era
+	w.revision = revision
 }
 
 // reportResult counts the call and reports a failure to the cursor and the controller.
