Write a release again that a restored platform lost

Front end for VXLAN: releases are published by the system, so no operator writes them again after the platform's store was restored from an older copy. Hosts kept the newer release in force and ignored the older one that they read, but left the store with it. A cell whose hosts were all replaced then went back to the older release, and the next publisher continued from it: its generation was one that the hosts had already, and the change never came into force.

A relay that reads a release older than the one it holds writes the held release back, on condition that the object still has the version that was read. An outdated read cannot replace a newer release, and one of several relays succeeds.

The archive of generations that the store lost is not rebuilt: hosts hold one release.

--- a/controlplane/action.go
+++ b/controlplane/action.go
@@ -17,6 +17,13 @@
 	Services map[pimentospread.ServiceID]*dataplane.ServiceView
 }
 
+// Republication is a request to write a release that the platform has lost.
+type Republication struct {
+	PackedRelease *PackedRelease
+	// Expected is the version of the older release that it replaces.
+	Expected pimentospread.ObjectVersion
+}
+
 // WatchChange is a request to start or stop watching the platform.
 type WatchChange struct{ On bool }
 
@@ -43,6 +50,8 @@
 	View *dataplane.View
 	// Watch is nil when the watch does not change.
 	Watch *WatchChange
+	// Republish is nil unless the platform has an older release than this host.
+	Republish *Republication
 	// ReadPlatform requests a single read of the release and the roster.
 	ReadPlatform bool
 	// Peers is nil when the set of peers does not change.
--- a/controlplane/cell.go
+++ b/controlplane/cell.go
@@ -91,7 +91,7 @@
 	case ReplyReceived:
 		c.handleReply(now, e, &a)
 	case ReleaseRead:
-		c.acceptRelease(e.PackedRelease, &a)
+		c.handleReleaseRead(e, &a)
 	case RosterRead:
 		c.members.OfferRoster(now, e.Roster, member.Roster{}, 0)
 	case PlatformReadDone:
--- a/controlplane/content.go
+++ b/controlplane/content.go
@@ -55,6 +55,19 @@
 
 // Unpack decompresses and decodes a release that a peer has sent.
 func Unpack(packed []byte, decode DecodeFunc) (*PackedRelease, error) {
+	data, err := decompress(packed)
+	if err != nil {
+		return nil, err
+	}
+	decoded, err := decode(data)
+	if err != nil {
+		return nil, err
+	}
+	return &PackedRelease{Release: decoded, Packed: packed, Digest: xxhash.Sum64(data)}, nil
+}
+
+// decompress returns the JSON of a packed release.
+func decompress(packed []byte) ([]byte, error) {
 	const step = "unpack release"
 	r := flate.NewReader(bytes.NewReader(packed))
 	defer func() { _ = r.Close() }()
@@ -65,11 +78,7 @@
 	if len(data) > maxReleaseSize {
 		return nil, pimentospread.At(pimentospread.ErrInvalid.New("decompressed release is longer than %d bytes", maxReleaseSize), step, "")
 	}
-	decoded, err := decode(data)
-	if err != nil {
-		return nil, err
-	}
-	return &PackedRelease{Release: decoded, Packed: packed, Digest: xxhash.Sum64(data)}, nil
+	return data, nil
 }
 
 // generation returns the generation of the release, or zero when c is nil.
--- a/controlplane/event.go
+++ b/controlplane/event.go
@@ -31,7 +31,11 @@
 }
 
 // ReleaseRead is a release that was read from the platform.
-type ReleaseRead struct{ PackedRelease *PackedRelease }
+type ReleaseRead struct {
+	PackedRelease *PackedRelease
+	// Version is the version of the platform's object.
+	Version pimentospread.ObjectVersion
+}
 
 // RosterRead is a roster that was read from the platform.
 type RosterRead struct{ Roster member.Roster }
--- a/controlplane/release_state.go
+++ b/controlplane/release_state.go
@@ -40,6 +40,18 @@
 	c.requestTables(a)
 }
 
+// handleReleaseRead accepts a release that was read from the platform. A release that is
+// older than the held one means that the platform was restored from an older copy: the held
+// release was accepted and in force, so it is written again. The expected version keeps an
+// outdated read from replacing a newer release.
+func (c *Cell) handleReleaseRead(e ReleaseRead, a *Actions) {
+	held := c.release.held
+	if e.PackedRelease != nil && e.Version > 0 && e.PackedRelease.generation() < held.generation() {
+		a.Republish = &Republication{PackedRelease: held, Expected: e.Version}
+	}
+	c.acceptRelease(e.PackedRelease, a)
+}
+
 func (c *Cell) requestTables(a *Actions) {
 	g := &c.release
 	a.Build = &TableBuild{PackedRelease: g.held, Base: g.active, Services: g.activeServices}
--- a/controlplane/watch.go
+++ b/controlplane/watch.go
@@ -29,6 +29,9 @@
 	if a.ReadPlatform {
 		t.group.Go("platform read", t.controller.readPlatform)
 	}
+	if r := a.Republish; r != nil {
+		t.group.Go("platform republish", func(ctx context.Context) error { return t.controller.republish(ctx, *r) })
+	}
 	if a.Watch == nil {
 		return
 	}
@@ -83,17 +86,47 @@
 			return nil
 		}
 		c.deps.Log.Warn("failed to watch object on the platform", "kind", kind, "error", err)
-		t := time.NewTimer(delay)
-		select {
-		case <-ctx.Done():
-			t.Stop()
-		case <-t.C:
-		}
+		pause(ctx, delay)
 		delay = min(2*delay, maxWatchDelay)
 	}
 	return nil
 }
 
+// republish writes a release that the platform has lost, until the platform has it or a
+// newer one. Several hosts may do so at the same time; one of them succeeds.
+func (c *Controller) republish(ctx context.Context, r Republication) error {
+	generation := r.PackedRelease.generation()
+	value, err := decompress(r.PackedRelease.Packed)
+	if err != nil {
+		return err
+	}
+	for delay := initialWatchDelay; ctx.Err() == nil; delay = min(2*delay, maxWatchDelay) {
+		version, err := c.deps.Platform.Put(ctx, c.objectKey(pimentospread.KindRelease), value, r.Expected)
+		switch {
+		case err == nil:
+			c.deps.Log.Warn("release that the platform had lost was written again", "written_generation", generation, "version", version)
+			return nil
+		case errorx.IsOfType(err, pimentospread.ErrConflict):
+			return nil
+		case ctx.Err() != nil:
+			return nil
+		}
+		c.deps.Log.Warn("failed to write a lost release to the platform again", "written_generation", generation, "error", err)
+		pause(ctx, delay)
+	}
+	return nil
+}
+
+// pause waits for the duration or until the context ends.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
 func (c *Controller) objectKey(kind pimentospread.ObjectKind) pimentospread.ObjectKey {
 	return pimentospread.ObjectKey{Kind: kind, Name: string(c.deps.Cell)}
 }
@@ -116,5 +149,5 @@
 		return RosterRead{Roster: r}, err
 	}
 	packed, err := Pack(o.Value, c.deps.Decode)
-	return ReleaseRead{PackedRelease: packed}, err
+	return ReleaseRead{PackedRelease: packed, Version: o.Version}, err
 }
