Publish after the release in force, not after an older one of the platform

Front end for VXLAN: after the platform's store was restored from an older copy, a change was based on the release that the platform had. It got a generation that the hosts had in force already, with other content: it was accepted and never came into force, or hosts reported two releases of one generation. It also assigned service and target IDs again that were in use, which the packets of another target could have reached.

The publisher compares the platform with what the host has in force. If the platform is behind, it writes the release in force again and publishes after it. If a live peer has a newer release than this host, it refuses the change as not published.

--- a/command/cell_test.go
+++ b/command/cell_test.go
@@ -66,6 +66,7 @@
 	number := 0
 	c.publisher = publish.New(publish.Deps{
 		Platform: c, Clock: pimentospread.SystemClock{}, Cell: "cell",
+		InForce: func(context.Context) (publish.InForce, error) { return publish.InForce{}, nil },
 		NewID: func() pimentospread.PublishID {
 			number++
 			return pimentospread.PublishID(strings.Repeat("i", number))
--- a/host/build.go
+++ b/host/build.go
@@ -194,6 +194,7 @@
 		Log: h.log, Token: h.settings.AdminToken,
 		Publisher: publish.New(publish.Deps{
 			Platform: store, Clock: h.clock, Cell: h.settings.Cell, NewID: newPublishID, NewSeed: rand.Uint64,
+			InForce: h.inForce,
 		}),
 		Release: h.queryServer.release,
 		Status:  h.control.Status,
@@ -203,6 +204,21 @@
 	})
 }
 
+// inForce returns the newest release of this host, and the newest generation of all live hosts.
+func (h *Host) inForce(ctx context.Context) (publish.InForce, error) {
+	status, err := h.control.Status(ctx)
+	if err != nil {
+		return publish.InForce{}, err
+	}
+	newest := status.Generation
+	for _, s := range status.Hosts {
+		if s.Alive {
+			newest = max(newest, s.Prepared)
+		}
+	}
+	return publish.InForce{Release: h.control.LatestView().Release, Newest: newest}, nil
+}
+
 func newPublishID() pimentospread.PublishID {
 	return pimentospread.PublishID(strconv.FormatUint(rand.Uint64(), 36) + strconv.FormatUint(rand.Uint64(), 36))
 }
--- a/operator/server_test.go
+++ b/operator/server_test.go
@@ -54,6 +54,7 @@
 		Publisher: publish.New(publish.Deps{
 			Platform: memory{}, Clock: pimentospread.SystemClock{}, Cell: "cell",
 			NewID: func() pimentospread.PublishID { return "id" }, NewSeed: func() uint64 { return 1 },
+			InForce: func(context.Context) (publish.InForce, error) { return publish.InForce{}, nil },
 		}),
 		Release: func(context.Context, pimentospread.Generation) (*release.Release, error) {
 			return nil, pimentospread.At(pimentospread.ErrTimeout.New("no change"), "watch release", "peer-2")
--- a/publish/errors.go
+++ b/publish/errors.go
@@ -21,6 +21,16 @@
 	return pimentospread.At(pimentospread.ErrConflict.New("lost the race: %s", what), "publish", "platform")
 }
 
+func newBehindError(stored, held, newest pimentospread.Generation) error {
+	err := pimentospread.ErrUnavailable.New("platform has generation %d and this host generation %d, but a peer has generation %d; nothing was published, try again", stored, held, newest)
+	return pimentospread.At(err, "publish", "platform")
+}
+
+func newNotRecoveredError(lost *release.Release) error {
+	err := pimentospread.ErrUnavailable.New("platform has lost generation %d and did not confirm that it was written again; nothing was published, try again", lost.Generation)
+	return pimentospread.At(err, "publish", "platform")
+}
+
 func newUncertainError(err error, next *release.Release) error {
 	wrapped := pimentospread.ErrUncertain.Wrap(err, "the platform did not confirm whether generation %d took effect", next.Generation)
 	return pimentospread.At(wrapped, "publish", "platform")
--- a/publish/publisher.go
+++ b/publish/publisher.go
@@ -26,6 +26,17 @@
 	NewID func() pimentospread.PublishID
 	// NewSeed returns the seed of a cell's first release.
 	NewSeed func() uint64
+	// InForce returns what the hosts of the cell have in force. The platform is behind them
+	// after it was restored from an older copy.
+	InForce func(ctx context.Context) (InForce, error)
+}
+
+// InForce is what the hosts of a cell have in force, as this host sees it.
+type InForce struct {
+	// Release is the newest release that this host has. It is nil before the first one.
+	Release *release.Release
+	// Newest is the newest generation that this host or a live peer has.
+	Newest pimentospread.Generation
 }
 
 // Publisher applies operators' changes to the current release of one cell. It archives
@@ -77,7 +88,7 @@
 // publisher was first, and ErrUncertain when it could not be determined whether the
 // update took effect.
 func (p *Publisher) Publish(ctx context.Context, c Change) (*release.Release, error) {
-	current, version, err := p.Current(ctx)
+	current, version, err := p.recoverCurrent(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -100,6 +111,57 @@
 	return p.update(ctx, &next, version)
 }
 
+// recoverCurrent returns the release in force and its object version. If the platform has
+// lost that release, recoverCurrent writes it again first: a release that follows an older
+// one would get a generation and IDs that the hosts have seen already. It fails while this
+// host lacks a release that its peers have.
+func (p *Publisher) recoverCurrent(ctx context.Context) (*release.Release, pimentospread.ObjectVersion, error) {
+	inForce, err := p.deps.InForce(ctx)
+	if err != nil {
+		return nil, 0, err
+	}
+	for range maxAttempts {
+		current, version, err := p.Current(ctx)
+		if err != nil {
+			return nil, 0, err
+		}
+		stored, held := generationOf(current), generationOf(inForce.Release)
+		if stored >= max(held, inForce.Newest) {
+			return current, version, nil
+		}
+		if held < inForce.Newest {
+			return nil, 0, newBehindError(stored, held, inForce.Newest)
+		}
+		version, err = p.writeAgain(ctx, inForce.Release, version)
+		if err == nil {
+			return inForce.Release, version, nil
+		}
+		// After a lost answer or a conflict, for instance with a relay that does the same, the
+		// platform has the release, or the write is repeated.
+		if !errorx.IsOfType(err, pimentospread.ErrUncertain) && !errorx.IsOfType(err, pimentospread.ErrConflict) {
+			return nil, 0, err
+		}
+	}
+	return nil, 0, newNotRecoveredError(inForce.Release)
+}
+
+// writeAgain replaces an older release by one that the platform has lost.
+func (p *Publisher) writeAgain(ctx context.Context, lost *release.Release, version pimentospread.ObjectVersion) (pimentospread.ObjectVersion, error) {
+	value, err := json.Marshal(lost)
+	if err != nil {
+		return 0, pimentospread.At(pimentospread.ErrInvalid.Wrap(err, "release cannot be encoded"), "recover", "")
+	}
+	return p.deps.Platform.Put(ctx, p.key(), value, version)
+}
+
+// generationOf returns the generation of a release, or zero if there is none.
+func generationOf(r *release.Release) pimentospread.Generation {
+	if r == nil {
+		return 0
+	}
+	return r.Generation
+}
+
 func (p *Publisher) apply(ctx context.Context, current *release.Release, c Change) (release.Set, error) {
 	var base release.Set
 	if current != nil {
--- a/publish/publisher_test.go
+++ b/publish/publisher_test.go
@@ -78,10 +78,16 @@
 func (fixedClock) Now() time.Time { return time.Unix(1000, 0) }
 
 func newPublisher(f pimentospread.Platform) *publish.Publisher {
+	return newPublisherOfHost(f, publish.InForce{})
+}
+
+// newPublisherOfHost returns a publisher on a host with the given releases in force.
+func newPublisherOfHost(f pimentospread.Platform, inForce publish.InForce) *publish.Publisher {
 	n := 0
 	return publish.New(publish.Deps{
 		Platform: f, Clock: fixedClock{}, Cell: "trust", NewSeed: func() uint64 { return 7 },
-		NewID: func() pimentospread.PublishID { n++; return pimentospread.PublishID(fmt.Sprintf("%p-%d", &n, n)) },
+		InForce: func(context.Context) (publish.InForce, error) { return inForce, nil },
+		NewID:   func() pimentospread.PublishID { n++; return pimentospread.PublishID(fmt.Sprintf("%p-%d", &n, n)) },
 	})
 }
 
