Report a change as uncertain if its answer and the store were lost

Front end for VXLAN: when the answer to the update of a release was lost and the platform's store was then restored from an older copy, the publisher found another version with an older release and told the operator that the change had lost a race. Hosts may have received the release before the restore and have it in force.

After a lost answer, a current release of another era no longer counts as the winner of a race; the outcome is uncertain. A conflict without a lost answer is still a conflict.

publish.TestLostAnswerBeforeARestoreIsUncertain failed before: "lost the race: generation 1 ... is in force".

--- a/publish/publisher.go
+++ b/publish/publisher.go
@@ -225,6 +225,7 @@
 	if err != nil {
 		return nil, pimentospread.At(pimentospread.ErrInvalid.Wrap(err, "release cannot be encoded"), "publish", "")
 	}
+	uncertain := false
 	for range maxAttempts {
 		_, err = p.deps.Platform.Put(ctx, p.key(), value, version)
 		if err == nil {
@@ -233,46 +234,61 @@
 		if !errorx.IsOfType(err, pimentospread.ErrUncertain) && !errorx.IsOfType(err, pimentospread.ErrConflict) {
 			return nil, err
 		}
-		published, conflicting, readErr := p.resolveOutcome(ctx, next, version)
+		uncertain = uncertain || errorx.IsOfType(err, pimentospread.ErrUncertain)
+		o, readErr := p.resolveOutcome(ctx, next, version)
 		switch {
 		case readErr != nil:
 			err = readErr
-		case published:
+		case o.published:
 			return next, nil
-		case conflicting != nil:
-			return nil, newConflictError(conflicting)
+		case o.restored && uncertain:
+			return nil, newUncertainError(err, next)
+		case o.conflicting != nil:
+			return nil, newConflictError(o.conflicting)
 		}
 	}
 	return nil, newUncertainError(err, next)
 }
 
-// resolveOutcome determines the outcome of an update whose answer was lost or
-// reported a conflict. It returns true if the release took effect, even if a later
-// one has replaced it. Otherwise it returns the current release if another one took
-// effect, or nil if the object still has the old version.
-func (p *Publisher) resolveOutcome(ctx context.Context, next *release.Release, version pimentospread.ObjectVersion) (bool, *release.Release, error) {
+// outcome is what the platform shows of an update whose answer was lost or reported a conflict.
+type outcome struct {
+	// published is set if the release took effect, even if a later one has replaced it.
+	published bool
+	// conflicting is the current release if another one took effect. It is nil if the
+	// object still has the old version.
+	conflicting *release.Release
+	// restored is set if the platform was restored since the update was prepared, so that
+	// it may have lost the release after hosts had received it.
+	restored bool
+}
+
+// resolveOutcome determines the outcome of an update whose answer was lost or reported a
+// conflict.
+func (p *Publisher) resolveOutcome(ctx context.Context, next *release.Release, version pimentospread.ObjectVersion) (outcome, error) {
 	current, currentVersion, err := p.Current(ctx)
 	if err != nil {
-		return false, nil, err
+		return outcome{}, err
 	}
 	if current != nil && current.PublishID == next.PublishID {
-		return true, nil, nil
+		return outcome{published: true}, nil
 	}
 	if currentVersion == version {
-		return false, nil, nil
+		return outcome{}, nil
 	}
 	if current == nil {
-		return false, nil, pimentospread.ErrUncertain.New("release of cell %q was removed before the outcome was read", p.deps.Cell)
+		return outcome{}, pimentospread.ErrUncertain.New("release of cell %q was removed before the outcome was read", p.deps.Cell)
 	}
+	o := outcome{conflicting: current, restored: version > 0 && currentVersion.Era() != version.Era()}
 	if current.Generation <= next.Generation {
-		return false, current, nil
+		return o, nil
 	}
 	// The release of this generation was archived before a later one replaced it.
 	archived, err := p.readArchived(ctx, next.Generation)
 	if err != nil {
-		return false, nil, err
+		return outcome{}, err
 	}
-	return archived.PublishID == next.PublishID, current, nil
+	o.published = archived.PublishID == next.PublishID
+	return o, nil
 }
 
 func (p *Publisher) readArchived(ctx context.Context, g pimentospread.Generation) (*release.Release, error) {
--- a/publish/restored_test.go
+++ b/publish/restored_test.go
@@ -90,3 +90,30 @@
 		t.Errorf("objects of the platform changed (-before +after):\n%s", diff)
 	}
 }
+
+// Guards against telling an operator that a change lost a race and did not happen, after its
+// answer was lost and the platform was restored: hosts may have it in force.
+func TestLostAnswerBeforeARestoreIsUncertain(t *testing.T) {
+	f := newPlatform()
+	p := newPublisher(f)
+	if _, err := publishSet(p, "one"); err != nil {
+		t.Fatal(err)
+	}
+	older := maps.Clone(f.objects)
+	f.outcome = func(key pimentospread.ObjectKey) answerOutcome {
+		if key.Kind != pimentospread.KindRelease {
+			return answered
+		}
+		f.restore(older)
+		return answerLostBeforeWrite
+	}
+	if _, err := publishDrain(p, "a"); !errorx.IsOfType(err, pimentospread.ErrUncertain) {
+		t.Errorf("error %v, want uncertain", err)
+	}
+	// A conflict without a lost answer is certain.
+	f.outcome = nil
+	f.beforePut = func() { f.restore(f.objects) }
+	if _, err := publishDrain(p, "a"); !errorx.IsOfType(err, pimentospread.ErrConflict) {
+		t.Errorf("error %v, want a conflict", err)
+	}
+}
