Do not take an outdated target from another host after a restore

A host that starts after the platform's store was restored reads targets as ready that are draining or gone, and passes them on, whole or as a change of its own. Hosts that had ignored such entries in their own first list took them from that host.

For twice the grace period after a restore, which is longer than it takes targets to write again and entries of others to expire, only a change that a watch of the platform returned makes a draining or departed process of a target ready again. Lists and the changes that other hosts pass on do not.

discovery.TestApply, case "another host passes on what a restored store lists", failed before.

--- a/discovery/directory.go
+++ b/discovery/directory.go
@@ -40,6 +40,9 @@
 	sortedNames []pimentospread.RegistrationName
 	// graceUntil is the time until which missing entries are kept.
 	graceUntil time.Time
+	// outdatedUntil is the time until which a list may hold registrations that precede a
+	// restore of the platform's store.
+	outdatedUntil time.Time
 	// digest is the digest of the entries that are not missing.
 	digest pimentospread.Digest
 }
@@ -79,6 +82,9 @@
 	Present []pimentospread.Registration
 	// Removed holds the names of entries that were deleted or cannot be read.
 	Removed []pimentospread.RegistrationName
+	// Watched is set if a watch of the platform returned the changes, so that targets have
+	// written what is present since From. Other hosts may have it from a list.
+	Watched bool `msgpack:"-"`
 }
 
 // ChangeKind is the kind of a change of a target.
@@ -174,21 +180,22 @@
 //
 // A store that was restored from an older copy lacks targets that have registered since,
 // until they register again, and lists targets as ready that are draining or have departed
-// since. The first update after a restore therefore starts the grace period, and a list
-// does not make such a target ready again.
+// since, until they register again or their entries expire. The first update after a restore
+// therefore starts the grace period, and for twice as long only a watch makes such a target
+// ready again.
 func (d *Directory) Apply(now time.Time, u Update) []Change {
 	if !d.Accepts(u) {
 		return nil
 	}
-	restored := d.revision > 0 && u.Revision.Era() > d.revision.Era()
-	if restored {
+	if d.revision > 0 && u.Revision.Era() > d.revision.Era() {
 		d.ExtendGrace(now, d.config.ReturnGrace)
+		d.outdatedUntil = now.Add(2 * d.config.ReturnGrace)
 	}
 	d.revision = u.Revision
 	var changes []Change
 	present := make(map[pimentospread.RegistrationName]bool, len(u.Present))
 	for _, r := range u.Present {
-		if restored && u.Full && d.isOutdated(r) {
+		if !u.Watched && now.Before(d.outdatedUntil) && d.isOutdated(r) {
 			present[r.Name] = d.entries[r.Name].token == r.Token()
 			changes = append(changes, Change{r, Outdated})
 			continue
@@ -209,15 +216,13 @@
 	return changes
 }
 
-// isOutdated reports whether the registration precedes what the directory has: its target
-// has departed, or it is draining and does not become ready again.
+// isOutdated reports whether the registration of a ready target precedes what the directory
+// has: the target has departed, or it is draining and does not become ready again.
 func (d *Directory) isOutdated(r pimentospread.Registration) bool {
 	token := r.Token()
-	if _, gone := d.departed[token]; gone {
-		return true
-	}
 	e := d.entries[r.Name]
-	return e.token == token && e.registration.Draining && !r.Draining
+	_, gone := d.departed[token]
+	return !r.Draining && (gone || e.token == token && e.registration.Draining)
 }
 
 // put adds or replaces a registration and appends the change, if any.
--- a/discovery/directory_test.go
+++ b/discovery/directory_test.go
@@ -36,6 +36,11 @@
 	return r
 }
 
+func watched(u discovery.Update) discovery.Update {
+	u.Watched = true
+	return u
+}
+
 // restored returns the version of a revision after the store was restored.
 func restored(revision uint64) pimentospread.ObjectVersion {
 	return pimentospread.NewObjectVersion(1, revision)
@@ -149,7 +154,19 @@
 			{update: full(8, registration("a")), changes: []string{"a added"}},
 			{at: time.Second, update: delta(8, 9, "a"), changes: []string{"a gone"}},
 			{at: 2 * time.Second, update: full(restored(3), registration("a")), changes: []string{"a outdated"}},
-			{at: 3 * time.Second, update: full(restored(3), registration("a")), changes: []string{"a added"}},
+			{at: 3 * time.Second, update: full(restored(4), registration("a")), changes: []string{"a outdated"}},
+			{at: 7 * time.Second, update: full(restored(4), registration("a")), changes: []string{"a added"}},
+		},
+		"a departed target that runs registers again while the platform is watched": {
+			{update: full(8, registration("a")), changes: []string{"a added"}},
+			{at: time.Second, update: delta(8, 9, "a"), changes: []string{"a gone"}},
+			{at: 2 * time.Second, update: full(restored(3), registration("a")), changes: []string{"a outdated"}},
+			{at: 3 * time.Second, update: watched(delta(restored(3), restored(4), "", registration("a"))), changes: []string{"a added"}},
+		},
+		"another host passes on what a restored store lists": {
+			{update: full(8, registration("a"), draining("b")), changes: []string{"a added", "b added"}},
+			{at: time.Second, update: delta(8, 9, "a"), changes: []string{"a gone"}},
+			{at: 2 * time.Second, update: delta(9, restored(3), "", registration("a"), registration("b")), changes: []string{"a outdated", "b outdated"}},
 		},
 		"a restored store has the earlier process of a restarted target": {
 			{update: full(8, registration("a")), changes: []string{"a added"}},
--- a/tokenfront/fleet_test.go
+++ b/tokenfront/fleet_test.go
@@ -225,7 +225,7 @@
 	if h.read.Era() != f.revision.Era() {
 		h.read = 0
 	}
-	u := discovery.Update{Full: h.read == 0, From: h.read, Revision: f.revision}
+	u := discovery.Update{Full: h.read == 0, From: h.read, Revision: f.revision, Watched: h.read > 0}
 	for name, at := range f.changedAt {
 		r, present := f.targets[name]
 		switch {
--- a/tokenfront/watcher.go
+++ b/tokenfront/watcher.go
@@ -168,7 +168,7 @@
 // translateTargets converts objects into an update of the registrations. A registration
 // that cannot be decoded is treated as removed.
 func translateTargets(full bool, from, revision pimentospread.ObjectVersion, changes []pimentospread.Change) (event, error) {
-	e := targetsUpdate{update: discovery.Update{Full: full, From: from, Revision: revision}}
+	e := targetsUpdate{update: discovery.Update{Full: full, From: from, Revision: revision, Watched: !full}}
 	last := map[pimentospread.RegistrationName]pimentospread.Change{}
 	var order []pimentospread.RegistrationName
 	for _, c := range changes {
