Ask a follower for state that this host lacks

A host that started between the return of the platform's store and the operators' repeated writes took the older configuration from the store. If it was the host that reads the platform, or got its state from one that had started as well, nobody gave it the newer configuration that its followers had in force: it served dropped routes and reset flows of added ones until the operator had written again.

A host whose follower subscribes from a later position asks that follower for an answer, once for each subscription.

TestFleetFollowsARestoredStore now starts the reader again too and checks the configuration of all hosts 2 s after the return, before anything is written again.

--- a/tokenfront/fleet_restored_test.go
+++ b/tokenfront/fleet_restored_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"pimentospread"
+	"pimentospread/dissemination"
 )
 
 // fleetCopy is a copy of the platform's state.
@@ -84,10 +85,12 @@
 				f.restore(older)
 				f.down = false
 				clear(f.sent)
-				// Every fifth host starts again before the state is written again.
+				// Every fifth host starts again before the state is written again, and so does the
+				// one that reads the platform.
+				reader := dissemination.NewTree(f.peers, fanOut).Ranked()[0]
 				started := map[pimentospread.HostID]bool{}
 				for i, p := range f.peers {
-					if i%5 == 0 {
+					if i%5 == 0 || p.Host == reader {
 						f.hosts[p.Host].alive = false
 						f.start(i)
 						started[p.Host] = true
@@ -101,6 +104,11 @@
 						}
 					}
 				}
+				for id, h := range f.hosts {
+					if got, want := h.controller.table.Version(), newer.configuration.Version; got != want {
+						t.Errorf("host %s, started again %t, has configuration %d 2 s after the return, want %d", id, started[id], got, want)
+					}
+				}
 				most := 0
 				for _, n := range f.sent {
 					most = max(most, n/2)
--- a/tokenfront/peer_exchange.go
+++ b/tokenfront/peer_exchange.go
@@ -201,6 +201,13 @@
 	e.chooseSource(ctx, now)
 	e.updateConnections(ctx, now)
 	e.send(ctx, answers)
+	if !m.Leaves && isBehind(s.Position(), m.Position) {
+		// A host that started after the platform was restored may have read an older
+		// configuration than its followers have in force.
+		request := e.subscription(now)
+		request.Once = true
+		e.send(ctx, []pimentospread.Outbound{{To: from, Message: request}})
+	}
 }
 
 // handleStateUpdate applies the age of the sender's state and its list of hosts. The
