Restore the platform's store in the soak

The soak gains the fault "restore": the store is away, loses its last 1 to 40 writes, comes back, and up to 2 s later operators and targets write again what they wrote. Writes of the soak are kept apart by a mutex, so that what is written again cannot replace a later write.

--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -58,6 +58,7 @@
 	client      *loopback.Client
 	group       *duty.Group
 	targets     map[string][]*runningTarget
+	objects     writtenObjects
 	// nextTarget is the number of the next target.
 	nextTarget int
 	version    int
@@ -93,7 +94,7 @@
 	r := &run{
 		config: c, startedAt: time.Now(), diary: diary, client: loopback.NewClient(5 * time.Second),
 		group:   duty.NewGroup(ctx, slog.New(slog.NewTextHandler(os.Stderr, nil))),
-		targets: map[string][]*runningTarget{}, toggled: map[int]bool{}, nextTarget: 1,
+		targets: map[string][]*runningTarget{}, objects: writtenObjects{specs: map[objectName]string{}}, toggled: map[int]bool{}, nextTarget: 1,
 	}
 	// Updates of the observations return with an error when the duties end.
 	r.checker = &checker{owner: owner.New[*observations](questionCapacity), ctx: r.group.Context()}
@@ -265,28 +266,6 @@
 	}
 }
 
-// writeObject changes an object as an operator or a target does. It retries until
-// the platform accepts the change, and returns the time of the acknowledgement.
-func (r *run) writeObject(method, kind, name, spec string) time.Time {
-	body := fmt.Sprintf(`{"meta":{"name":%q},"spec":%s}`, name, spec)
-	if spec == "" {
-		body = ""
-	}
-	for {
-		url := r.platformURL + "/v1/objects/" + kind + "/" + name
-		if method == http.MethodPost {
-			url = r.platformURL + "/v1/objects/" + kind
-		}
-		_, err := r.client.Call(r.checker.ctx, method, url, nil, []byte(body))
-		// The answer to a write that took effect may be lost; the retry then finds the
-		// object already created (409) or deleted (404).
-		if err == nil || r.checker.ctx.Err() != nil || strings.Contains(err.Error(), "status 404") || strings.Contains(err.Error(), "status 409") {
-			return time.Now()
-		}
-		time.Sleep(50 * time.Millisecond)
-	}
-}
-
 // writeConfiguration writes a new configuration, which either moves the first
 // route to the other service, or removes or adds the third route.
 func (r *run) writeConfiguration(rng *rand.Rand) {
--- a/standin/soak/schedule.go
+++ b/standin/soak/schedule.go
@@ -73,6 +73,7 @@
 		{"late writes", admin(`{"LateWrites":3,"LateBy":"2s"}`)},
 		{"late events", admin(`{"Lag":"700ms"}`)},
 		{"few calls", admin(`{"ReadsPerSecond":3,"WritesPerSecond":1}`)},
+		{"restore", func(r *run, rng *rand.Rand) func() { return r.restoreStore(rng) }},
 	}
 }
 
