Archive the older release that a lost one replaces

A restored platform has the release before the ones that it lost, and no archive of it: a release is archived when the next one is published. Writing the release in force again replaced it, and a rollback to it failed with "not found".

The relay and the publisher archive the older release before they replace it. publish.TestPublishAfterThePlatformLostARelease rolls back to both generations now and failed before with "no object"; the test of the relay expects the archive first. Generations between the copy and the release in force stay lost, since hosts hold one release.

--- a/controlplane/action.go
+++ b/controlplane/action.go
@@ -20,7 +20,8 @@
 // Republication is a request to write a release that the platform has lost.
 type Republication struct {
 	PackedRelease *PackedRelease
-	// Expected is the version of the older release that it replaces.
+	// Older is the release that it replaces, and Expected the version of its object.
+	Older    *PackedRelease
 	Expected pimentospread.ObjectVersion
 }
 
--- a/controlplane/release_state.go
+++ b/controlplane/release_state.go
@@ -47,7 +47,7 @@
 func (c *Cell) handleReleaseRead(e ReleaseRead, a *Actions) {
 	held := c.release.held
 	if e.PackedRelease != nil && e.Version > 0 && e.PackedRelease.generation() < held.generation() {
-		a.Republish = &Republication{PackedRelease: held, Expected: e.Version}
+		a.Republish = &Republication{PackedRelease: held, Older: e.PackedRelease, Expected: e.Version}
 	}
 	c.acceptRelease(e.PackedRelease, a)
 }
--- a/controlplane/republish_test.go
+++ b/controlplane/republish_test.go
@@ -12,10 +12,11 @@
 	"pimentospread/controlplane"
 	"pimentospread/dataplane"
 	"pimentospread/member"
+	"pimentospread/release"
 	"pimentospread/ring"
 )
 
-// lossyPlatform is a platform that has lost releases. It fails the first write.
+// lossyPlatform is a platform that has lost releases. It fails the first writes.
 type lossyPlatform struct {
 	memoryPlatform
 	failures int
@@ -43,7 +44,7 @@
 			first:    older,
 			releases: make(chan pimentospread.Object, 1),
 		},
-		failures: 1, written: make(chan pimentospread.Object, 1),
+		failures: 2, written: make(chan pimentospread.Object, 2),
 	}
 	views := ring.New[*dataplane.View](1, ring.DropOldest)
 	c := controlplane.NewController(controlplane.Deps{
@@ -61,9 +62,12 @@
 	<-inForce
 	older.Version = pimentospread.NewObjectVersion(2, 5)
 	p.releases <- older
-	want := pimentospread.Object{ObjectKey: newer.ObjectKey, Version: older.Version, Value: newer.Value}
-	if diff := cmp.Diff(want, <-p.written); diff != "" {
-		t.Errorf("release that was written over the version of the older one (-want +got):\n%s", diff)
+	want := []pimentospread.Object{
+		{ObjectKey: release.ArchiveKey("cell-1", 1), Value: older.Value},
+		{ObjectKey: newer.ObjectKey, Version: older.Version, Value: newer.Value},
+	}
+	if diff := cmp.Diff(want, []pimentospread.Object{<-p.written, <-p.written}); diff != "" {
+		t.Errorf("archived release, and the one written over its version (-want +got):\n%s", diff)
 	}
 	cancel()
 	if err := <-ended; err != nil {
--- a/controlplane/watch.go
+++ b/controlplane/watch.go
@@ -9,6 +9,7 @@
 	"pimentospread"
 	"pimentospread/duty"
 	"pimentospread/member"
+	"pimentospread/release"
 )
 
 // Retry delays of a watch that fails. The longest leaves two of the five seconds
@@ -95,28 +96,42 @@
 // republish writes a release that the platform has lost, until the platform has it or a
 // newer one. Several hosts may do so at the same time; one of them succeeds.
 func (c *Controller) republish(ctx context.Context, r Republication) error {
-	generation := r.PackedRelease.generation()
-	value, err := decompress(r.PackedRelease.Packed)
-	if err != nil {
-		return err
-	}
 	for delay := initialWatchDelay; ctx.Err() == nil; delay = min(2*delay, maxWatchDelay) {
-		version, err := c.deps.Platform.Put(ctx, c.objectKey(pimentospread.KindRelease), value, r.Expected)
-		switch {
-		case err == nil:
-			c.deps.Log.Warn("release that the platform had lost was written again", "written_generation", generation, "version", version)
-			return nil
-		case errorx.IsOfType(err, pimentospread.ErrConflict):
-			return nil
-		case ctx.Err() != nil:
+		err := c.replaceOlder(ctx, r)
+		if err == nil || ctx.Err() != nil {
 			return nil
 		}
-		c.deps.Log.Warn("failed to write a lost release to the platform again", "written_generation", generation, "error", err)
+		c.deps.Log.Warn("failed to write a lost release to the platform again", "written_generation", r.PackedRelease.generation(), "error", err)
 		pause(ctx, delay)
 	}
 	return nil
 }
 
+// replaceOlder archives the older release on the platform and replaces it. A conflict means
+// that another host or a publisher was first.
+func (c *Controller) replaceOlder(ctx context.Context, r Republication) error {
+	older, err := decompress(r.Older.Packed)
+	if err != nil {
+		return err
+	}
+	value, err := decompress(r.PackedRelease.Packed)
+	if err != nil {
+		return err
+	}
+	_, err = c.deps.Platform.Put(ctx, release.ArchiveKey(c.deps.Cell, r.Older.generation()), older, 0)
+	if err != nil && !errorx.IsOfType(err, pimentospread.ErrConflict) {
+		return err
+	}
+	version, err := c.deps.Platform.Put(ctx, c.objectKey(pimentospread.KindRelease), value, r.Expected)
+	if err == nil {
+		c.deps.Log.Warn("release that the platform had lost was written again", "written_generation", r.PackedRelease.generation(), "version", version)
+	}
+	if errorx.IsOfType(err, pimentospread.ErrConflict) {
+		return nil
+	}
+	return err
+}
+
 // pause waits for the duration or until the context ends.
 func pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
--- a/publish/publisher.go
+++ b/publish/publisher.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 
 	"github.com/joomcode/errorx"
 
@@ -132,6 +131,10 @@
 		if held < inForce.Newest {
 			return nil, 0, newBehindError(stored, held, inForce.Newest)
 		}
+		// The older release would otherwise be in no archive: it is archived when it is replaced.
+		if err := p.archive(ctx, current); err != nil {
+			return nil, 0, err
+		}
 		version, err = p.writeAgain(ctx, inForce.Release, version)
 		if err == nil {
 			return inForce.Release, version, nil
@@ -206,7 +209,7 @@
 		return pimentospread.At(pimentospread.ErrInvalid.Wrap(err, "release cannot be encoded"), "archive", "")
 	}
 	for range maxAttempts {
-		_, err = p.deps.Platform.Put(ctx, p.archiveKey(current.Generation), value, 0)
+		_, err = p.deps.Platform.Put(ctx, release.ArchiveKey(p.deps.Cell, current.Generation), value, 0)
 		if err == nil || errorx.IsOfType(err, pimentospread.ErrConflict) {
 			return nil
 		}
@@ -292,7 +295,7 @@
 }
 
 func (p *Publisher) readArchived(ctx context.Context, g pimentospread.Generation) (*release.Release, error) {
-	o, err := p.deps.Platform.Get(ctx, p.archiveKey(g))
+	o, err := p.deps.Platform.Get(ctx, release.ArchiveKey(p.deps.Cell, g))
 	if err != nil {
 		return nil, err
 	}
@@ -302,7 +305,3 @@
 func (p *Publisher) key() pimentospread.ObjectKey {
 	return pimentospread.ObjectKey{Kind: pimentospread.KindRelease, Name: string(p.deps.Cell)}
 }
-
-func (p *Publisher) archiveKey(g pimentospread.Generation) pimentospread.ObjectKey {
-	return pimentospread.ObjectKey{Kind: pimentospread.KindArchive, Name: fmt.Sprintf("%s.%d", p.deps.Cell, g)}
-}
--- a/publish/restored_test.go
+++ b/publish/restored_test.go
@@ -35,7 +35,8 @@
 func TestPublishAfterThePlatformLostARelease(t *testing.T) {
 	f := newPlatform()
 	p := newPublisher(f)
-	if _, err := publishSet(p, "one"); err != nil {
+	first, err := publishSet(p, "one")
+	if err != nil {
 		t.Fatal(err)
 	}
 	older := maps.Clone(f.objects)
@@ -62,12 +63,14 @@
 			if r.Generation != lost.Generation+1 || a.State != "Draining" || b.State != "Draining" {
 				t.Errorf("generation %d with targets %s and %s, want generation %d with both draining", r.Generation, a.State, b.State, lost.Generation+1)
 			}
-			archived, err := newPublisher(f).Publish(context.Background(), publish.Change{Rollback: lost.Generation})
-			if err != nil {
-				t.Fatal(err)
-			}
-			if diff := cmp.Diff(lost.SourceSet(), archived.SourceSet(), cmpopts.EquateComparable(netip.AddrPort{})); diff != "" {
-				t.Errorf("rollback to the generation that was lost (-want +got):\n%s", diff)
+			for _, earlier := range []*release.Release{first, lost} {
+				archived, err := newPublisher(f).Publish(context.Background(), publish.Change{Rollback: earlier.Generation})
+				if err != nil {
+					t.Fatal(err)
+				}
+				if diff := cmp.Diff(earlier.SourceSet(), archived.SourceSet(), cmpopts.EquateComparable(netip.AddrPort{})); diff != "" {
+					t.Errorf("rollback to generation %d (-want +got):\n%s", earlier.Generation, diff)
+				}
 			}
 		})
 	}
--- a/release/release.go
+++ b/release/release.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"time"
 
 	"pimentospread"
@@ -22,6 +23,12 @@
 	Set           Set                     `json:"Set"`
 }
 
+// ArchiveKey returns the key of the object that archives a generation of a cell after a later
+// one has replaced it.
+func ArchiveKey(cell pimentospread.Cell, g pimentospread.Generation) pimentospread.ObjectKey {
+	return pimentospread.ObjectKey{Kind: pimentospread.KindArchive, Name: fmt.Sprintf("%s.%d", cell, g)}
+}
+
 // Decode decodes a release and checks that it has a generation and a publish
 // ID and that its set has no faults.
 func Decode(data []byte) (*Release, error) {
