Replace the archive of a generation that a restore undid

A write to the platform may execute seconds after its answer was lost, also after the store was restored. An archived release of the lost history then stood under a generation that was published again with other content, and the publisher took the conflict for its own archive: a rollback to that generation published what had been lost.

After a conflict the publisher compares the publish ID of the archived release and replaces the archive of another one. publish.TestArchiveOfALostGenerationIsReplaced failed before with the lost content.

--- a/publish/publisher.go
+++ b/publish/publisher.go
@@ -191,15 +191,16 @@
 	if current != nil && current.Generation == g {
 		return current.SourceSet(), nil
 	}
-	r, err := p.readArchived(ctx, g)
+	r, _, err := p.readArchived(ctx, g)
 	if err != nil {
 		return release.Set{}, err
 	}
 	return r.SourceSet(), nil
 }
 
-// archive stores the current release under its generation before it is replaced.
-// A conflict means that an earlier publication attempt has archived it already.
+// archive stores the current release under its generation before it is replaced. It may be
+// archived already, by an earlier publication attempt. Another release under its generation
+// was published before the platform was restored, and is replaced.
 func (p *Publisher) archive(ctx context.Context, current *release.Release) error {
 	if current == nil {
 		return nil
@@ -208,12 +209,22 @@
 	if err != nil {
 		return pimentospread.At(pimentospread.ErrInvalid.Wrap(err, "release cannot be encoded"), "archive", "")
 	}
+	var expected pimentospread.ObjectVersion
 	for range maxAttempts {
-		_, err = p.deps.Platform.Put(ctx, release.ArchiveKey(p.deps.Cell, current.Generation), value, 0)
-		if err == nil || errorx.IsOfType(err, pimentospread.ErrConflict) {
+		_, err = p.deps.Platform.Put(ctx, release.ArchiveKey(p.deps.Cell, current.Generation), value, expected)
+		switch {
+		case err == nil:
 			return nil
-		}
-		if !errorx.IsOfType(err, pimentospread.ErrUncertain) {
+		case errorx.IsOfType(err, pimentospread.ErrConflict):
+			archived, version, readErr := p.readArchived(ctx, current.Generation)
+			if readErr != nil {
+				return readErr
+			}
+			if archived.PublishID == current.PublishID {
+				return nil
+			}
+			expected = version
+		case !errorx.IsOfType(err, pimentospread.ErrUncertain):
 			return err
 		}
 	}
@@ -286,7 +297,7 @@
 		return o, nil
 	}
 	// The release of this generation was archived before a later one replaced it.
-	archived, err := p.readArchived(ctx, next.Generation)
+	archived, _, err := p.readArchived(ctx, next.Generation)
 	if err != nil {
 		return outcome{}, err
 	}
@@ -294,12 +305,13 @@
 	return o, nil
 }
 
-func (p *Publisher) readArchived(ctx context.Context, g pimentospread.Generation) (*release.Release, error) {
+func (p *Publisher) readArchived(ctx context.Context, g pimentospread.Generation) (*release.Release, pimentospread.ObjectVersion, error) {
 	o, err := p.deps.Platform.Get(ctx, release.ArchiveKey(p.deps.Cell, g))
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
-	return release.Decode(o.Value)
+	r, err := release.Decode(o.Value)
+	return r, o.Version, err
 }
 
 func (p *Publisher) key() pimentospread.ObjectKey {
--- a/publish/restored_test.go
+++ b/publish/restored_test.go
@@ -120,3 +120,38 @@
 		t.Errorf("error %v, want a conflict", err)
 	}
 }
+
+// Guards against a rollback to what was published under a generation before the platform
+// was restored: its archive was written late, and the release that came after the restore
+// was not archived under the same generation.
+func TestArchiveOfALostGenerationIsReplaced(t *testing.T) {
+	f := newPlatform()
+	p := newPublisher(f)
+	if _, err := publishSet(p, "one"); err != nil {
+		t.Fatal(err)
+	}
+	older := maps.Clone(f.objects)
+	for _, target := range []pimentospread.TargetName{"a", "b"} {
+		if _, err := publishDrain(p, target); err != nil {
+			t.Fatal(err)
+		}
+	}
+	late := f.objects[release.ArchiveKey("trust", 2)]
+	f.restore(older)
+	f.objects[late.ObjectKey] = late
+	// No host has what was lost.
+	second, err := publishDrain(newPublisher(f), "b")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := publishDrain(newPublisher(f), "a"); err != nil {
+		t.Fatal(err)
+	}
+	back, err := newPublisher(f).Publish(context.Background(), publish.Change{Rollback: second.Generation})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(second.SourceSet(), back.SourceSet(), cmpopts.EquateComparable(netip.AddrPort{})); diff != "" {
+		t.Errorf("rollback to generation %d (-want +got):\n%s", second.Generation, diff)
+	}
+}
