--- a/standin/platform/front_test.go
+++ b/standin/platform/front_test.go
@@ -134,3 +134,30 @@
 	s.register(2, "draining")
 	log.await(t, `"msg":"target draining"`)
 }
+
+// Guards against a host that other hosts do not find any more, because a restored store has
+// lost its entry and no operator or target writes it again.
+func TestEntryLostByARestoredStoreIsWrittenAgain(t *testing.T) {
+	s := userStore{t, serve(t)}
+	s.configure(1)
+	s.register(1, "ready")
+	first := s.startFront("h-1")
+	first.await(t, `"msg":"host ready"`)
+	first.await(t, `"hosts":1,`)
+	second := s.startFront("h-2")
+	first.await(t, `"hosts":2,`)
+	second.await(t, `"hosts":2,`)
+	// The entry of the second host is the last write.
+	s.restore(1)
+	if status, _ := call(t, s.url, step{method: http.MethodGet, path: "/v1/objects/EntryHost/h-2"}); status != http.StatusNotFound {
+		t.Fatalf("entry of the second host after the restore: status %d, want 404", status)
+	}
+	for end := time.Now().Add(testTimeout); ; time.Sleep(20 * time.Millisecond) {
+		if status, _ := call(t, s.url, step{method: http.MethodGet, path: "/v1/objects/EntryHost/h-2"}); status == http.StatusOK {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatal("timed out waiting for the entry of the second host")
+		}
+	}
+}
