Test that rosters of a restored platform are adopted

The case "restored platform" of member.TestOfferRosterKeepsTwoRosters: a roster of a later era replaces one with a higher revision. Without eras it was ignored, like the lists of targets, until the revision had caught up: hosts kept the electors of hosts that had left.

--- a/member/members_test.go
+++ b/member/members_test.go
@@ -20,7 +20,8 @@
 }
 
 // TestOfferRosterKeepsTwoRosters guards against adopting a third roster before the
-// claims under the first one have ended.
+// claims under the first one have ended, and against ignoring the rosters of a restored
+// platform, whose revisions are lower.
 func TestOfferRosterKeepsTwoRosters(t *testing.T) {
 	type offer struct {
 		at       time.Duration
@@ -28,11 +29,13 @@
 		previous pimentospread.ObjectVersion
 		age      time.Duration
 	}
+	restored := pimentospread.NewObjectVersion(1, 2)
 	tests := map[string]struct {
 		offers []offer
 		end    time.Duration
 		want   [2]pimentospread.ObjectVersion
 	}{
+		"restored platform":              {[]offer{{version: 9}, {at: time.Hour, version: restored}}, time.Hour, [2]pimentospread.ObjectVersion{restored, 9}},
 		"first":                          {[]offer{{version: 1}}, 0, [2]pimentospread.ObjectVersion{1, 0}},
 		"second":                         {[]offer{{version: 1}, {at: time.Second, version: 2}}, time.Second, [2]pimentospread.ObjectVersion{2, 1}},
 		"third before the interval ends": {[]offer{{version: 1}, {at: time.Second, version: 2}, {at: 2 * time.Second, version: 3}}, 10 * time.Second, [2]pimentospread.ObjectVersion{2, 1}},
