Replace half-open flows in the soak's target

From the logs: at 13:41:51 a host that resumed from a pause forwarded the copies of an old SYN of caller port 9535 to i-8. Ten seconds later the next flow from that port opened at i-8, which kept the half-open flow with the old sequence number and answered none of the flow's requests. The host saw a target that had answered nothing for 0.6 s and three retransmissions, and gave it up, as it should for a target that does not answer.

A SYN with another sequence number replaces a half-open flow, as in a real endpoint.

--- a/standin/soak/target.go
+++ b/standin/soak/target.go
@@ -91,7 +91,8 @@
 
 func (t *target) open(p packet, f *targetFlow) {
 	t.checker.checkSYN(t, p)
-	if f == nil {
+	if f == nil || !f.open && f.next != p.seq+1 {
+		// A late copy of a SYN leaves a half-open flow that the caller has given up.
 		f = &targetFlow{seq: uint32(time.Now().UnixNano()), next: p.seq + 1}
 		t.flows[p.source] = f
 	}
