Withhold after a restore only what was leaving before it

The store was restored, then away a second time, so that the targets registered again only after 3 s. By then hosts had dropped them, which made them departed, and what departs was withheld for 5 s after the restore whoever listed it. After that no revision followed with which the list would have come again.

Only targets that were draining or had departed when the restore was noticed are withheld. A withheld registration is kept, and dropped when the entry is removed or changes; what is still listed at the end of the time belongs to a target that runs and is applied without another message.

discovery.TestApply, "a target that a restored store lacked registers after the grace period" and "a departed target that runs registers again", failed before.

--- a/discovery/directory.go
+++ b/discovery/directory.go
@@ -40,9 +40,8 @@
 	sortedNames []pimentospread.RegistrationName
 	// graceUntil is the time until which missing entries are kept.
 	graceUntil time.Time
-	// outdatedUntil is the time until which a list may hold registrations that precede a
-	// restore of the platform's store.
-	outdatedUntil time.Time
+	// restore holds what a restore of the platform's store may bring back.
+	restore restore
 	// digest is the digest of the entries that are not missing.
 	digest pimentospread.Digest
 }
@@ -106,8 +105,8 @@
 	Returned ChangeKind = "returned"
 	// Departed is a target that departed.
 	Departed ChangeKind = "gone"
-	// Outdated is a registration of a restored store that is older than the state of the
-	// target. It is not applied.
+	// Outdated is a registration of a restored store that may be older than the state of the
+	// target. It is withheld.
 	Outdated ChangeKind = "outdated"
 	// Changed is any other difference, such as another number of slots.
 	Changed ChangeKind = "changed"
@@ -126,6 +125,7 @@
 		digest:   emptyDigest,
 		entries:  map[pimentospread.RegistrationName]entry{},
 		departed: map[pimentospread.Token]departed{},
+		restore:  restore{withheld: map[pimentospread.RegistrationName]pimentospread.Registration{}},
 	}
 }
 
@@ -182,28 +182,33 @@
 // until they register again, and lists targets as ready that are draining or have departed
 // since, until they register again or their entries expire. The first update after a restore
 // therefore starts the grace period, and for twice as long only a watch makes such a target
-// ready again.
+// ready again. What is then still listed is applied.
 func (d *Directory) Apply(now time.Time, u Update) []Change {
 	if !d.Accepts(u) {
 		return nil
 	}
 	if d.revision > 0 && u.Revision.Era() > d.revision.Era() {
 		d.ExtendGrace(now, d.config.ReturnGrace)
-		d.outdatedUntil = now.Add(2 * d.config.ReturnGrace)
+		d.restore.begin(now.Add(2*d.config.ReturnGrace), d.leaving())
+	}
+	if u.Full {
+		clear(d.restore.withheld)
 	}
 	d.revision = u.Revision
 	var changes []Change
 	present := make(map[pimentospread.RegistrationName]bool, len(u.Present))
 	for _, r := range u.Present {
-		if !u.Watched && now.Before(d.outdatedUntil) && d.isOutdated(r) {
+		if !u.Watched && d.restore.withholds(now, r) {
 			present[r.Name] = d.entries[r.Name].token == r.Token()
 			changes = append(changes, Change{r, Outdated})
 			continue
 		}
 		present[r.Name] = true
+		delete(d.restore.withheld, r.Name)
 		changes = d.put(changes, now, r)
 	}
 	for _, name := range u.Removed {
+		delete(d.restore.withheld, name)
 		changes = d.remove(changes, now, name)
 	}
 	if u.Full {
@@ -216,13 +221,18 @@
 	return changes
 }
 
-// isOutdated reports whether the registration of a ready target precedes what the directory
-// has: the target has departed, or it is draining and does not become ready again.
-func (d *Directory) isOutdated(r pimentospread.Registration) bool {
-	token := r.Token()
-	e := d.entries[r.Name]
-	_, gone := d.departed[token]
-	return !r.Draining && (gone || e.token == token && e.registration.Draining)
+// leaving returns the tokens of the targets that are draining or have departed.
+func (d *Directory) leaving() map[pimentospread.Token]bool {
+	tokens := make(map[pimentospread.Token]bool, len(d.departed))
+	for token := range d.departed {
+		tokens[token] = true
+	}
+	for _, e := range d.entries {
+		if e.registration.Draining {
+			tokens[e.token] = true
+		}
+	}
+	return tokens
 }
 
 // put adds or replaces a registration and appends the change, if any.
@@ -318,18 +328,21 @@
 	d.departed[r.Token()] = departed{r, now.Add(d.config.DepartedRetention)}
 }
 
-// Tick drops missing entries after the grace period, and departed targets after
-// DepartedRetention. It returns the changes.
+// Tick drops missing entries after the grace period and departed targets after
+// DepartedRetention, and applies what was withheld after a restore. It returns the changes.
 func (d *Directory) Tick(now time.Time) []Change {
 	for token, target := range d.departed {
 		if now.After(target.until) {
 			delete(d.departed, token)
 		}
 	}
+	var changes []Change
+	for _, r := range d.restore.end(now) {
+		changes = d.put(changes, now, r)
+	}
 	if now.Before(d.graceUntil) {
-		return nil
+		return changes
 	}
-	var changes []Change
 	for _, name := range d.names() {
 		if e := d.entries[name]; e.missing {
 			changes = d.drop(changes, now, e.registration)
@@ -351,6 +364,9 @@
 			next = d.graceUntil
 		}
 	}
+	if len(d.restore.withheld) > 0 && (next.IsZero() || d.restore.until.Before(next)) {
+		next = d.restore.until
+	}
 	return next
 }
 
