Keep missing targets while the platform is away again

The grace period of 2.5 s for missing targets ran on while targets could not register, so that six targets that ran were dropped and new flows were reset for "no_target" until they had registered.

An entry that is missing is dropped once the platform has confirmed the directory after the end of the grace period, and not by the clock alone. A host with missing entries starts the period again after any outage that it notices (1.4 s without confirmation), not only after one that is long enough for entries to expire.

discovery.TestApply, case "the platform is away again before the end of the grace period", failed before ("a gone", then "a added").

--- a/discovery/directory.go
+++ b/discovery/directory.go
@@ -160,6 +160,16 @@
 	return u
 }
 
+// HasMissing reports whether entries are kept that the platform no longer lists.
+func (d *Directory) HasMissing() bool {
+	for _, e := range d.entries {
+		if e.missing {
+			return true
+		}
+	}
+	return false
+}
+
 // Grace returns the remaining time for which missing entries are kept.
 func (d *Directory) Grace(now time.Time) time.Duration { return max(d.graceUntil.Sub(now), 0) }
 
@@ -328,9 +338,11 @@
 	d.departed[r.Token()] = departed{r, now.Add(d.config.DepartedRetention)}
 }
 
-// Tick drops missing entries after the grace period and departed targets after
-// DepartedRetention, and applies what was withheld after a restore. It returns the changes.
-func (d *Directory) Tick(now time.Time) []Change {
+// Tick drops departed targets after DepartedRetention, applies what was withheld after a
+// restore, and drops entries that were still missing when the platform last confirmed the
+// directory after the grace period. While the platform is away, targets cannot register
+// again. Tick returns the changes.
+func (d *Directory) Tick(now, confirmed time.Time) []Change {
 	for token, target := range d.departed {
 		if now.After(target.until) {
 			delete(d.departed, token)
@@ -340,7 +352,7 @@
 	for _, r := range d.restore.end(now) {
 		changes = d.put(changes, now, r)
 	}
-	if now.Before(d.graceUntil) {
+	if confirmed.Before(d.graceUntil) {
 		return changes
 	}
 	for _, name := range d.names() {
--- a/discovery/directory_test.go
+++ b/discovery/directory_test.go
@@ -51,6 +51,8 @@
 	// returned is set if the platform has come back from an outage before the update.
 	returned bool
 	update   discovery.Update
+	// away is for how long the platform has been away at the time.
+	away time.Duration
 	// changes are the expected changes, as "name kind".
 	changes []string
 }
@@ -119,6 +121,12 @@
 			{at: 3 * time.Second, update: delta(2, 3, "")},
 			{at: 3500 * time.Millisecond, update: delta(3, 3, ""), changes: []string{"a gone"}},
 		},
+		"the platform is away again before the end of the grace period": {
+			{update: full(1, registration("a")), changes: []string{"a added"}},
+			{at: time.Second, returned: true, update: full(2), changes: []string{"a missing"}},
+			{at: 4 * time.Second, away: 2 * time.Second, update: delta(2, 2, "")},
+			{at: 5 * time.Second, away: 3 * time.Second, update: delta(2, 3, "", registration("a")), changes: []string{"a returned"}},
+		},
 		"a draining target was removed during a platform outage": {
 			{update: full(1, draining("a")), changes: []string{"a added"}},
 			{at: time.Second, returned: true, update: full(2), changes: []string{"a gone"}},
@@ -202,7 +210,7 @@
 					d.PlatformReturned(now)
 				}
 				var got []string
-				for _, c := range append(d.Tick(now), d.Apply(now, s.update)...) {
+				for _, c := range append(d.Tick(now, now.Add(-s.away)), d.Apply(now, s.update)...) {
 					got = append(got, string(c.Registration.Name)+" "+string(c.Kind))
 				}
 				if diff := cmp.Diff(s.changes, got); diff != "" {
@@ -225,7 +233,7 @@
 	if next := d.NextTick(); !next.Equal(start.Add(time.Minute)) {
 		t.Errorf("NextTick returned %s, want one minute after the departure", next)
 	}
-	d.Tick(start.Add(time.Minute + 1))
+	d.Tick(start.Add(time.Minute+1), start)
 	if got := d.Targets(); len(got) != 0 {
 		t.Errorf("targets %+v, want none", got)
 	}
--- a/discovery/restore_test.go
+++ b/discovery/restore_test.go
@@ -113,7 +113,7 @@
 				}
 				d.Apply(now, s.updateSince(d.Revision()))
 			}
-			d.Tick(now)
+			d.Tick(now, now)
 			ready := map[pimentospread.RegistrationName]bool{}
 			for _, target := range d.Targets() {
 				ready[target.Registration.Name] = !target.Departed && !target.Registration.Draining
@@ -132,7 +132,7 @@
 			}
 		}
 		d.Apply(now, s.updateSince(d.Revision()))
-		d.Tick(now.Add(2*grace + 1))
+		d.Tick(now.Add(2*grace+1), now.Add(2*grace+1))
 		var want []string
 		for _, name := range slices.SortedFunc(maps.Keys(s.entries), func(a, b pimentospread.RegistrationName) int { return strings.Compare(string(a), string(b)) }) {
 			want = append(want, fmt.Sprintf("%s draining=%t", name, s.entries[name].Draining))
--- a/tokenfront/controller.go
+++ b/tokenfront/controller.go
@@ -104,7 +104,7 @@
 		case <-tick.C:
 			now := ctl.clock.Now()
 			ctl.lag.ticked(now, interval)
-			ctl.recordChanges(ctl.directory.Tick(now))
+			ctl.recordChanges(ctl.directory.Tick(now, ctl.exchange.selector.Confirmed()))
 			ctl.exchange.tick(ctx, now)
 		}
 		ctl.publish(ctx)
@@ -181,9 +181,7 @@
 // handleTargets applies an update of the targets from the platform.
 func (ctl *controller) handleTargets(e targetsUpdate) {
 	now := ctl.clock.Now()
-	if ctl.directory.Revision() > 0 && now.Sub(ctl.exchange.selector.Confirmed()) > outageThreshold {
-		ctl.directory.PlatformReturned(now)
-	}
+	ctl.detectOutage(now)
 	ctl.reportIgnored(e.update)
 	ctl.applyTargets(now, e.update)
 	ctl.targetsSource.ReadPlatform(ctl.directory.Revision())
@@ -192,6 +190,15 @@
 	}
 }
 
+// detectOutage starts the grace period after an outage of the platform. Targets that are
+// missing already need the time again after any outage that the host notices.
+func (ctl *controller) detectOutage(now time.Time) {
+	age := now.Sub(ctl.exchange.selector.Confirmed())
+	if ctl.directory.Revision() > 0 && (age > outageThreshold || age > relayMaxAge && ctl.directory.HasMissing()) {
+		ctl.directory.PlatformReturned(now)
+	}
+}
+
 // reportIgnored logs the first of several updates from the platform in a row that the
 // directory does not apply.
 func (ctl *controller) reportIgnored(u discovery.Update) {
@@ -300,9 +307,7 @@
 		return
 	}
 	m.AssumeEras(position)
-	if now.Sub(ctl.exchange.selector.Confirmed()) > outageThreshold && ctl.directory.Revision() > 0 {
-		ctl.directory.PlatformReturned(now)
-	}
+	ctl.detectOutage(now)
 	ctl.directory.ExtendGrace(now, m.Grace)
 	for _, u := range m.Updates {
 		if ctl.targetsSource.Accept(from, u.Full, u.From, ctl.directory.Revision()) {
--- a/tokenfront/fleet_test.go
+++ b/tokenfront/fleet_test.go
@@ -162,7 +162,7 @@
 	ctx := h.fleet.t.Context()
 	if e == nil {
 		now := h.fleet.now
-		h.controller.recordChanges(h.controller.directory.Tick(now))
+		h.controller.recordChanges(h.controller.directory.Tick(now, h.controller.exchange.selector.Confirmed()))
 		h.controller.exchange.tick(ctx, now)
 	} else {
 		h.controller.handle(ctx, e)
