--- a/dissemination/distributor_test.go
+++ b/dissemination/distributor_test.go
@@ -142,8 +142,8 @@
 					}
 				}
 			case 3:
-				source.directory.Tick(now)
-				follower.directory.Tick(now)
+				source.directory.Tick(now, now)
+				follower.directory.Tick(now, now)
 			case 4:
 				pull()
 			}
--- a/steer/steerer_test.go
+++ b/steer/steerer_test.go
@@ -353,7 +353,7 @@
 				present = append(present, r)
 			}
 			f.register(now, present...)
-			f.directory.Tick(now)
+			f.directory.Tick(now, now)
 			f.view()
 			for token, r := range owners {
 				a := f.steerer.Steer(now, steer.Packet{Key: key(7), Token: token, Sequence: 1, Acknowledgement: 1})
