Check updates of targets between releases as well

TestMessagesBetweenReleases decoded updates of targets with the type of this release on both sides, so a further encoded field would have passed. The type of the earlier release stands in the test now. It passes: the added field Watched is not encoded.

--- a/dissemination/message_test.go
+++ b/dissemination/message_test.go
@@ -31,11 +31,18 @@
 	Removed        []pimentospread.HostID
 }
 
+type earlierUpdate struct {
+	Full           bool
+	From, Revision pimentospread.ObjectVersion
+	Present        []pimentospread.Registration
+	Removed        []pimentospread.RegistrationName
+}
+
 type earlierStateUpdate struct {
 	Age      time.Duration
 	Path     []pimentospread.HostID
 	Position dissemination.Position
-	Updates  []discovery.Update
+	Updates  []earlierUpdate
 	Grace    time.Duration
 	Routes   *routing.Delta
 	Peers    *earlierPeersUpdate
@@ -108,10 +115,12 @@
 	options := cmp.Options{cmpopts.EquateComparable(netip.AddrPort{}), cmpopts.EquateEmpty()}
 	earlier := &earlierStateUpdate{
 		Age: time.Second, Path: []pimentospread.HostID{"a-2"}, Position: dissemination.Position{Targets: 3, Configuration: 2, Peers: 1},
-		Peers: &earlierPeersUpdate{Full: true, Revision: 1, Present: []earlierPeer{{"a-1", "a", address}, {"a-2", "a", address}}},
+		Updates: []earlierUpdate{{From: 2, Revision: 3, Removed: []pimentospread.RegistrationName{"i-1"}}},
+		Peers:   &earlierPeersUpdate{Full: true, Revision: 1, Present: []earlierPeer{{"a-1", "a", address}, {"a-2", "a", address}}},
 	}
 	current := &dissemination.StateUpdate{
 		Age: time.Second, Path: earlier.Path, Position: earlier.Position,
+		Updates: []discovery.Update{{From: 2, Revision: 3, Removed: []pimentospread.RegistrationName{"i-1"}}},
 		Peers: &dissemination.PeersUpdate{Full: true, Revision: 1, Present: []dissemination.Peer{
 			{Host: "a-1", FailureDomain: "a", Address: address}, {Host: "a-2", FailureDomain: "a", Address: address},
 		}},
