--- a/dissemination/eras.go
+++ b/dissemination/eras.go
@@ -78,8 +78,8 @@
 	return slices.ContainsFunc(versions, func(v *pimentospread.ObjectVersion) bool { return v.Era() > 0 })
 }
 
-// HasEras reports whether the sender knows the eras of its versions. Hosts of earlier
-// releases do not.
+// HasEras reports whether any version in the message has an era. Hosts of earlier releases
+// send none.
 func (m *StateUpdate) HasEras() bool { return hasEras(m.versions()) }
 
 // AssumeEras gives versions without an era that of the receiver's position.
