--- a/version.go
+++ b/version.go
@@ -17,16 +17,19 @@
 // revision after eight years.
 const revisionBits = 48
 
+// MaxRevision is the greatest revision that a version can hold.
+const MaxRevision uint64 = 1<<revisionBits - 1
+
 // NewObjectVersion returns the version for a revision that the store assigned in an era.
 func NewObjectVersion(era Era, revision uint64) ObjectVersion {
-	return ObjectVersion(uint64(era)<<revisionBits | revision&(1<<revisionBits-1))
+	return ObjectVersion(uint64(era)<<revisionBits | revision&MaxRevision)
 }
 
 // Era returns the era of the store in which the version was assigned.
 func (v ObjectVersion) Era() Era { return Era(v >> revisionBits) }
 
 // Revision returns the revision of the store.
-func (v ObjectVersion) Revision() uint64 { return uint64(v) & (1<<revisionBits - 1) }
+func (v ObjectVersion) Revision() uint64 { return uint64(v) & MaxRevision }
 
 // LogValue returns the revision, by which operators find the version at the platform.
 func (v ObjectVersion) LogValue() slog.Value { return slog.Uint64Value(v.Revision()) }
