Review: reset of open flows by a host that stops

Cause: a host that was told to stop leaves its source of updates and takes no other one (tokenfront.peerExchange.announceLeave, chooseSource), but goes on steering for 1.5 to 5 s. It resets open flows of a route that was added again meanwhile, as its view still lists the route as dropped.

Disruption: three hosts are stopped and started in turn; nine times, the operator adds a route 0.1 s after a host was told to stop.

--- a/review/standin/host.go
+++ b/review/standin/host.go
@@ -78,6 +78,12 @@
 	return nil
 }
 
+// signal sends a signal to the process.
+func (h *host) signal(s syscall.Signal) {
+	h.w.rec.add("host %s gets %s", h.name, s)
+	_ = h.cmd.Process.Signal(s)
+}
+
 // end kills the process, if it runs, and waits for its end.
 func (h *host) end() {
 	if h.cmd == nil {
--- a/review/standin/restart.go
+++ b/review/standin/restart.go
@@ -13,7 +13,7 @@
 	rollbackSlack = 250 * time.Millisecond
 )
 
-// losses loses one packet with data to the client of each flow that was armed.
+// losses loses one packet with data of each flow that was armed.
 type losses struct {
 	mu    sync.Mutex
 	armed map[flowKey]bool
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -48,6 +48,8 @@
 	answerBytes    int
 	// lose reports whether a packet to the client is lost on its way.
 	lose func(flowKey, packet) bool
+	// loseArriving reports the same of a packet from the client.
+	loseArriving func(flowKey, packet) bool
 
 	mu       sync.Mutex
 	conn     *net.UDPConn
@@ -174,6 +176,7 @@
 	switch {
 	case p.has(flagSYN):
 		s.open(key, f, p)
+	case s.loseArriving != nil && s.loseArriving(key, p):
 	case f == nil:
 		s.send(packet{src: key.route, dst: key.client, echo: p.echo, flags: flagRST, seq: p.ack})
 	case p.has(flagRST):
