Review: reset of open flows at endpoints that are full

Cause: steer.Steerer.open reports retransmitted opening packets to the outlier detector like retransmitted data, though a full endpoint sends nothing. outlier.Detector.GivesUp then gives up the endpoint's open flows after one lost packet, when their callers pause for seconds.

Disruption: 2.4 times as many users as usual come for 6.5 s, six times, and fill the endpoints. With and without it, one request packet in eight of the usual users is lost once.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -25,6 +25,7 @@
 
 var scripts = map[string]script{
 	"restart": restartUnderOldName,
+	"full":    fullServers,
 	"turns":   routeInTurn,
 }
 
