Review: copies of opening packets go to the old service

Cause: steer.Steerer.open sends a copy of an opening packet to the target of the first one without a look at the route of the present configuration.

Disruption: a burst of 2.4 times the usual requests for 3 s fills the endpoints of a service; in its midst the operator moves the route to another service, eight times.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -25,6 +25,7 @@
 
 var scripts = map[string]script{
 	"restart": restartUnderOldName,
+	"move":    moveRoute,
 	"full":    fullServers,
 	"turns":   routeInTurn,
 }
