Review: one entry of another writer stops all updates of the endpoints

Cause: platform.Client decodes a page or an answer to a watch as a whole, and encoding/json rejects more than 10,000 levels, also inside the value of one object.

Disruption: another writer keeps an entry of kind servers whose field slots has another type, an array of 10,001 levels, 20 kB in all.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -26,6 +26,7 @@
 var scripts = map[string]script{
 	"restart": restartUnderOldName,
 	"move":    moveRoute,
+	"foreign": foreignEntry,
 	"full":    fullServers,
 	"turns":   routeInTurn,
 }
