--- a/review/standin/restart.go
+++ b/review/standin/restart.go
@@ -77,7 +77,7 @@
 // restartRound opens flows for 0.8 s. In the midst of it one of the seven servers is down for
 // 0.1 s.
 func restartRound(w *world, c *client, round int, trouble bool, lost *losses, found *findings) {
-	const flows, perSecond = 120, 150
+	const flows, perSecond = 200, 250
 	var wait sync.WaitGroup
 	for i := range flows {
 		if i == flows/4 && trouble {
