--- a/review/standin/move.go
+++ b/review/standin/move.go
@@ -70,8 +70,8 @@
 	return staleOpenings(w, version, <-moved, taken)
 }
 
-// oneRequest opens a flow for one request.
-func oneRequest(w *world, c *client, id string) {
+// oneRequest opens a flow for one request and returns how that ended.
+func oneRequest(w *world, c *client, id string) string {
 	f, how := c.open(w.route(1))
 	if how == endOpen {
 		how = f.request(id, "POST", 900, time.Second)
@@ -80,6 +80,7 @@
 	if how != endAnswered {
 		w.rec.add("request %s on flow %s: %s", id, f.key.client, how)
 	}
+	return how
 }
 
 // staleOpenings returns the flows that the old service got from a host through which the
