Judge flows by the latest process of their target

Callers saw open flows reset by a host 4 s and more after their target had restarted under its name, although the target ran and had run their request.

Cause: a target accepts packets by its id, which a restart does not change, so flows open at the new process with the token of the earlier one until hosts have read the new entry. The directory keeps that earlier process as departed, and the steerer took one unanswered retransmission as proof that a departed target has stopped.

Change: discovery.Target.Latest names the latest process with the same name and address. Load, answers, silence and loss of a flow are judged by that process. A target whose latest process has departed without a drain is given up at the first retransmission, as before. Log lines of packets with the token of an earlier process have the attribute restarted.

--- a/discovery/directory.go
+++ b/discovery/directory.go
@@ -56,6 +56,8 @@
 	token        pimentospread.Token
 	digest       pimentospread.Digest
 	warmUntil    time.Time
+	// since is when this process of the target was first listed.
+	since time.Time
 	// missing is set while an entry that the platform no longer lists is kept for
 	// the grace period.
 	missing bool
@@ -205,7 +207,10 @@
 	if known && !old.missing {
 		d.digest -= old.digest
 	}
-	e := entry{registration: r, token: token, digest: digestOf(r), warmUntil: now.Add(r.Warmup)}
+	e := entry{registration: r, token: token, digest: digestOf(r), warmUntil: now.Add(r.Warmup), since: now}
+	if known && old.token == token {
+		e.since = old.since
+	}
 	d.digest += e.digest
 	d.entries[r.Name] = e
 	delete(d.departed, token)
@@ -332,30 +337,6 @@
 	return next
 }
 
-// Target is a target with its state in the directory.
-type Target struct {
-	Registration pimentospread.Registration
-	Token        pimentospread.Token
-	// WarmUntil is the end of the warm-up, during which the target is slow.
-	WarmUntil time.Time
-	// Departed is set if the registration was removed. Such a target only gets
-	// packets of its open flows.
-	Departed bool
-}
-
-// Targets returns the registered targets sorted by name, followed by the departed ones.
-func (d *Directory) Targets() []Target {
-	targets := make([]Target, 0, len(d.entries)+len(d.departed))
-	for _, name := range d.names() {
-		e := d.entries[name]
-		targets = append(targets, Target{Registration: e.registration, Token: e.token, WarmUntil: e.warmUntil})
-	}
-	for token, target := range d.departed {
-		targets = append(targets, Target{Registration: target.registration, Token: token, Departed: true})
-	}
-	return targets
-}
-
 // Snapshot returns the registrations as a full update.
 func (d *Directory) Snapshot() Update {
 	u := Update{Full: true, Revision: d.revision, Present: make([]pimentospread.Registration, 0, len(d.entries))}
--- a/steer/packet.go
+++ b/steer/packet.go
@@ -100,6 +100,8 @@
 	FailureDomain pimentospread.FailureDomain
 	Instance      pimentospread.InstanceID
 	Address       netip.AddrPort
+	// Restarted is set if the packet has the token of an earlier process of the target.
+	Restarted bool
 }
 
 // OpensFlow reports whether the action assigns a new flow to a target. Forwarding a
--- a/steer/steerer.go
+++ b/steer/steerer.go
@@ -43,8 +43,12 @@
 	}
 }
 
-// retransmitted records that a caller retransmitted a packet to the target.
-func (s *Steerer) retransmitted(now time.Time, t *discovery.Target, sent time.Time) {
+// retransmitted records that a caller retransmitted a packet to the target with the given
+// token. A packet for an earlier process of the target may have been lost while it restarted.
+func (s *Steerer) retransmitted(now time.Time, token pimentospread.Token, t *discovery.Target, sent time.Time) {
+	if token != t.Token && sent.Before(t.Since) {
+		return
+	}
 	if s.detector.RecordRetransmission(now, t.Token, sent) {
 		s.changes = append(s.changes, SuspicionChange{Target: t.Registration.Name, Token: t.Token, Suspected: true, Since: sent})
 	}
@@ -114,7 +118,7 @@
 	if previous, sent, ok := s.tracker.OpeningTarget(flow); ok && p.Retransmissions > 0 {
 		if t, known := s.view.tokens[previous.Token]; known {
 			if s.tracker.IsRetransmission(now, sent) {
-				s.retransmitted(now, t, sent)
+				s.retransmitted(now, t.Token, s.view.latest(t), sent)
 			}
 			if !s.detector.Target(previous.Token).Suspected() {
 				return forward(t, CauseSYNRetransmission)
@@ -168,12 +172,13 @@
 		// The target may be newer than the view of this host. The caller retransmits.
 		return Action{Kind: Drop, Cause: CauseUnknownToken}
 	}
+	latest := s.view.latest(t)
 	signal := s.tracker.Observe(now, inflight.Segment{
-		Flow: p.Key.ID(), Token: p.Token, Sequence: p.Sequence, Acknowledgement: p.Acknowledgement, Length: p.Length,
+		Flow: p.Key.ID(), Token: latest.Token, Sequence: p.Sequence, Acknowledgement: p.Acknowledgement, Length: p.Length,
 		Ends: p.Ends || p.Resets,
 	})
 	if signal.Answered {
-		s.answered(signal.AnsweredAt, t)
+		s.answered(signal.AnsweredAt, latest)
 	}
 	if !signal.DeliveredAt.IsZero() {
 		s.detector.RecordDelivery(signal.DeliveredAt)
@@ -182,15 +187,17 @@
 		s.detector.RecordAnswerTime(now, t.Registration.Service, signal.AnswerTime)
 	}
 	if signal.Retransmitted {
-		s.retransmitted(now, t, signal.SentAt)
+		s.retransmitted(now, t.Token, latest, signal.SentAt)
 	}
 	switch {
-	case signal.Retransmitted && s.lost(t):
+	case signal.Retransmitted && s.lost(latest):
 		return Action{Kind: Reset, Cause: CauseLostTarget}
-	case signal.Retransmitted && s.givesUp(now, p, t, signal):
+	case signal.Retransmitted && s.givesUp(now, p, latest, signal):
 		return Action{Kind: Reset, Cause: CauseSilentTarget}
 	case t.Departed:
-		return forward(t, CauseDeparted)
+		a := forward(t, CauseDeparted)
+		a.Restarted = latest != t
+		return a
 	case signal.Retransmitted:
 		return forward(t, CauseRetransmission)
 	default:
@@ -207,7 +214,9 @@
 	})
 }
 
-// lost reports whether a target that did not answer a packet has stopped for good.
+// lost reports whether a target that did not answer a packet has stopped for good. The
+// target is the latest process under its name: a flow with the token of an earlier process
+// may be open at the latest one, and a target resets the flows that it does not hold.
 // A target that was draining still serves its flows after its registration was
 // removed. A target that answers other callers is running, even if the platform no
 // longer lists it.
--- a/steer/view.go
+++ b/steer/view.go
@@ -72,6 +72,15 @@
 	v.services[t.Registration.Service] = append(v.services[t.Registration.Service], c)
 }
 
+// latest returns the latest process of a target, which answers the packets of its flows if
+// any process does.
+func (v *View) latest(t *discovery.Target) *discovery.Target {
+	if l, ok := v.tokens[t.Latest]; ok {
+		return l
+	}
+	return t
+}
+
 // WithRevision returns a copy of the view for a later revision that changed neither
 // routes nor targets.
 func (v *View) WithRevision(revision pimentospread.ObjectVersion, confirmed time.Time) *View {
--- a/tokenfront/steering.go
+++ b/tokenfront/steering.go
@@ -167,6 +167,9 @@
 	if a.Kind == steer.Forward {
 		attributes = append(attributes, slog.String("target", string(a.Name)), slog.String("address", a.Address.String()))
 	}
+	if a.Restarted {
+		attributes = append(attributes, slog.Bool("restarted", true))
+	}
 	if v := s.steerer.View(); v != nil {
 		attributes = append(attributes,
 			slog.Uint64("configuration", uint64(v.Version)), slog.Uint64("revision", v.Revision.Revision()),
