Follow changes until a stopping host steers no more packets

Callers saw open flows reset by a host that was told to stop, on a route that was added again meanwhile. The host also reset new flows of routes that it did not have, and would have sent new flows to targets that drain.

Cause: the announcement of a shutdown ended the host's own subscription and its choice of a source, but it steers packets for 1.5 to 5 s more.

Change: the host announces its shutdown only to its followers at first. It keeps its source, or the platform, and ends its subscription when it gets no more packets. It tells a host that subscribes during the shutdown that it leaves, because the announcement went out before.

--- a/tokenfront/controller.go
+++ b/tokenfront/controller.go
@@ -126,6 +126,8 @@
 		ctl.handleMessage(ctx, e.inbound)
 	case shutdownStarted:
 		ctl.exchange.announceLeave(ctx)
+	case steeringEnded:
+		ctl.exchange.leaveSource(ctx)
 	}
 }
 
--- a/tokenfront/events.go
+++ b/tokenfront/events.go
@@ -50,9 +50,13 @@
 // shutdownStarted is sent when this host starts its shutdown.
 type shutdownStarted struct{}
 
+// steeringEnded is sent when this host gets no more packets during its shutdown.
+type steeringEnded struct{}
+
 func (hostsUpdate) isEvent()         {}
 func (peerMessage) isEvent()         {}
 func (shutdownStarted) isEvent()     {}
+func (steeringEnded) isEvent()       {}
 func (targetsUpdate) isEvent()       {}
 func (configurationUpdate) isEvent() {}
 func (platformResult) isEvent()      {}
--- a/tokenfront/peer_exchange.go
+++ b/tokenfront/peer_exchange.go
@@ -133,8 +133,9 @@
 	started            time.Time
 	// platformAnsweredAt is the time of the last response of the platform to any call.
 	platformAnsweredAt time.Time
-	// stopping is set once this host has announced its shutdown.
-	stopping bool
+	// stopping is set once this host has announced its shutdown, and left once it has ended
+	// its own subscription.
+	stopping, left bool
 }
 
 // source returns the name of the source of updates, for the log.
@@ -198,6 +199,10 @@
 		e.selector.ReceivedSubscription(now, from, m.Age)
 	}
 	answers := e.distributor.Subscribe(now, from, m, s)
+	if e.stopping && !m.Leaves {
+		// The subscriber started after this host had announced that it leaves.
+		answers = append(answers, pimentospread.Outbound{To: from, Message: &dissemination.StateUpdate{Leaves: true}})
+	}
 	e.chooseSource(ctx, now)
 	e.updateConnections(ctx, now)
 	e.send(ctx, answers)
@@ -276,7 +281,7 @@
 
 // chooseSource switches to another source if the selector selects one.
 func (e *peerExchange) chooseSource(ctx context.Context, now time.Time) {
-	if e.stopping {
+	if e.left {
 		return
 	}
 	before := e.selector.Sources()
@@ -305,7 +310,7 @@
 // subscribe sends a subscription to the chosen peer.
 func (e *peerExchange) subscribe(ctx context.Context, now time.Time) {
 	peer := e.selector.Sources().Peer
-	if peer == "" || e.stopping || e.awaitsPlatformList(now) {
+	if peer == "" || e.left || e.awaitsPlatformList(now) {
 		return
 	}
 	e.subscribed = now
@@ -351,10 +356,16 @@
 	_ = e.network.SetPeers(ctx, want)
 }
 
-// announceLeave announces the shutdown of this host to its subscribers and its source.
+// announceLeave announces the shutdown of this host to its subscribers. The host steers
+// packets for seconds more and needs updates for that long, so it keeps its source.
 func (e *peerExchange) announceLeave(ctx context.Context) {
 	e.stopping = true
 	e.send(ctx, e.distributor.Leave())
+}
+
+// leaveSource ends the subscription of this host once it no longer steers packets.
+func (e *peerExchange) leaveSource(ctx context.Context) {
+	e.left = true
 	if peer := e.selector.Sources().Peer; peer != "" {
 		e.send(ctx, []pimentospread.Outbound{{To: peer, Message: &dissemination.Subscribe{Address: e.self.Address, Leaves: true}}})
 	}
