Reset flows of a dropped route only by a newer view

Callers saw open flows reset by hosts that were not stopping but lagged behind the others by up to 1.2 s, less than the bound of 3 s. Their route had been removed by an earlier version and was in force again by a later one.

Cause: a host that had dropped a route reset every packet for its address. A flow that another host opened by a later version was taken for one of the dropped route.

Change: a flow that the host carried before it dropped the route is reset at once, as before. Any other one is reset when the view was confirmed at least 0.3 s after its first packet; until then its packets are dropped with the cause route_unconfirmed.

The fixture of package steer now confirms its views after the packets of a test, as hosts do with every view, so that the row "open flow of a dropped route" tests an up-to-date view.

--- a/inflight/tracker.go
+++ b/inflight/tracker.go
@@ -154,6 +154,12 @@
 	return f.target, f.lastSent, true
 }
 
+// Knows reports whether the flow is tracked.
+func (t *Tracker) Knows(id pimentospread.FlowID) bool {
+	_, ok := t.flows[id]
+	return ok
+}
+
 // IsRetransmission reports whether a packet that arrives now can be a
 // retransmission of one that was sent at the given time.
 func (t *Tracker) IsRetransmission(now, sent time.Time) bool {
--- a/steer/packet.go
+++ b/steer/packet.go
@@ -82,6 +82,9 @@
 	CauseNoRoute Cause = "no_route"
 	// CauseRouteDropped: the route of an open flow was removed.
 	CauseRouteDropped Cause = "route_dropped"
+	// CauseRouteUnconfirmed: the route was removed, but the flow may have opened by a later
+	// configuration that this host does not have yet.
+	CauseRouteUnconfirmed Cause = "route_unconfirmed"
 	// CauseNoTarget: the service has no target that takes new flows.
 	CauseNoTarget Cause = "no_target"
 	// CauseUnknownToken: the token names no known target.
--- a/steer/steerer.go
+++ b/steer/steerer.go
@@ -18,6 +18,8 @@
 	// options holds the candidates of the view with their observed load and health.
 	options map[pimentospread.ServiceName]options
 	changes []SuspicionChange
+	// unconfirmed holds flows of dropped routes that may belong to a later configuration.
+	unconfirmed unconfirmedFlows
 }
 
 // SuspicionChange records that a target became suspected or recovered.
@@ -56,7 +58,10 @@
 
 // New returns a steerer that drops all packets until it gets a complete view.
 func New(w Weights, tracker *inflight.Tracker, detector *outlier.Detector) *Steerer {
-	return &Steerer{weights: w, tracker: tracker, detector: detector, options: map[pimentospread.ServiceName]options{}}
+	return &Steerer{
+		weights: w, tracker: tracker, detector: detector, options: map[pimentospread.ServiceName]options{},
+		unconfirmed: unconfirmedFlows{seen: map[pimentospread.FlowID]time.Time{}},
+	}
 }
 
 // SetView replaces the view that decisions are based on.
@@ -165,7 +170,7 @@
 // follow forwards a packet of an open flow to the target that its token names.
 func (s *Steerer) follow(now time.Time, p Packet) Action {
 	if s.view.dropped[p.Key.Service] {
-		return Action{Kind: Reset, Cause: CauseRouteDropped}
+		return s.followDropped(now, p)
 	}
 	t, ok := s.view.tokens[p.Token]
 	if !ok {
--- a/steer/steerer_test.go
+++ b/steer/steerer_test.go
@@ -73,7 +73,13 @@
 	f.view()
 }
 
-func (f *fixture) view() { f.steerer.SetView(steer.NewView(localDomain, f.table, f.directory)) }
+// view passes the routes and targets to the steerer, as confirmed after all packets of a test.
+func (f *fixture) view() { f.viewConfirmedAt(start.Add(24 * time.Hour)) }
+
+func (f *fixture) viewConfirmedAt(confirmed time.Time) {
+	v := steer.NewView(localDomain, f.table, f.directory)
+	f.steerer.SetView(v.WithRevision(f.directory.Revision(), confirmed))
+}
 
 func deskRoute() pimentospread.Route {
 	return pimentospread.Route{Name: "r", Address: service, Services: []pimentospread.WeightedService{{Service: "desk", Weight: 1}}}
