Watch the platform while all hosts of a failure domain leave

Cause: a host that leaves stops watching the platform, because another relay takes over. If all hosts of the failure domain leave, no one does.

Change: the relays among the leaving hosts watch on if no other host of the failure domain is there. The number of watches stays bounded by that of relays.

Test: controlplane.TestLeavingCellTakesReleases, for 1 and 4 hosts. Before, all hosts stayed at generation 1; after, all have generation 2 active.

--- a/controlplane/cell.go
+++ b/controlplane/cell.go
@@ -168,7 +168,7 @@
 // updateWatch starts or stops the platform watch when this host becomes or stops
 // being a relay. A host with incomplete liveness information does not watch.
 func (c *Cell) updateWatch(now time.Time, a *Actions) {
-	on := !c.leaving && c.members.LivenessKnown(now) && c.members.IsRelay(now)
+	on := c.members.LivenessKnown(now) && (!c.leaving && c.members.IsRelay(now) || c.leaving && c.members.IsRelayWhileLeaving(now))
 	if on == c.watching {
 		return
 	}
--- a/controlplane/scenario_test.go
+++ b/controlplane/scenario_test.go
@@ -195,3 +195,23 @@
 		}
 	}
 }
+
+// TestLeavingCellTakesReleases guards against hosts that steer by the release of the time when
+// they were told to stop, because each of them stopped watching the platform.
+func TestLeavingCellTakesReleases(t *testing.T) {
+	for _, hosts := range []int{1, 4} {
+		s := newSim(1, hosts, 1, t.Fatalf)
+		s.advance(activationBound)
+		for _, h := range s.hosts {
+			h.handle(controlplane.Leave{})
+		}
+		s.advance(time.Second)
+		s.platform.publish()
+		s.advance(activationBound)
+		for _, h := range s.hosts {
+			if h.view.Generation() != 2 || !h.view.Active {
+				t.Errorf("%s of %d: generation %d, active %v, want 2 active while all hosts leave", h.self.ID, hosts, h.view.Generation(), h.view.Active)
+			}
+		}
+	}
+}
--- a/member/members.go
+++ b/member/members.go
@@ -283,9 +283,30 @@
 }
 
 // IsRelay reports whether this host watches the platform for its failure domain.
-func (m *Members) IsRelay(now time.Time) bool {
+func (m *Members) IsRelay(now time.Time) bool { return m.isRelay(m.eligibleHosts(now)) }
+
+// IsRelayWhileLeaving reports whether this host, which is leaving, watches the platform
+// because all live hosts of its failure domain are leaving. They steer packets for some time
+// more, and nobody else reads changes for them.
+func (m *Members) IsRelayWhileLeaving(now time.Time) bool {
+	all := []Candidate{{ID: m.self.ID, FailureDomain: m.self.FailureDomain}}
+	for _, p := range m.Alive(now) {
+		if p.Host.FailureDomain != m.self.FailureDomain {
+			continue
+		}
+		if !p.Heartbeat.Leaving {
+			return false
+		}
+		all = append(all, Candidate{ID: p.Host.ID, FailureDomain: p.Host.FailureDomain})
+	}
+	return m.isRelay(all)
+}
+
+// isRelay reports whether this host is a relay of its failure domain if the relays are among
+// the given hosts.
+func (m *Members) isRelay(hosts []Candidate) bool {
 	domain := m.self.FailureDomain
-	hosts := slices.DeleteFunc(m.eligibleHosts(now), func(c Candidate) bool { return c.FailureDomain != domain })
+	hosts = slices.DeleteFunc(hosts, func(c Candidate) bool { return c.FailureDomain != domain })
 	return slices.Contains(Rank(xxhash.Sum64String("relay "+string(domain)), hosts, relaysPerDomain), m.self.ID)
 }
 
