Log which packet began the suspicion of a target

The line "target does not answer" did not show whether the unanswered packet opens a flow or is a request on an open one.

The line now has the attribute packet, with "open" or "data".

--- a/steer/steerer.go
+++ b/steer/steerer.go
@@ -27,6 +27,9 @@
 	Target    pimentospread.RegistrationName
 	Token     pimentospread.Token
 	Suspected bool
+	// Opening is set if the packet that the target did not answer opens a flow. A target that
+	// is full answers none.
+	Opening bool
 	// Since is when the caller had sent the packet that the target did not answer.
 	Since time.Time
 }
@@ -47,12 +50,12 @@
 
 // retransmitted records that a caller retransmitted a packet to the target with the given
 // token. A packet for an earlier process of the target may have been lost while it restarted.
-func (s *Steerer) retransmitted(now time.Time, token pimentospread.Token, t *discovery.Target, sent time.Time) {
+func (s *Steerer) retransmitted(now time.Time, token pimentospread.Token, t *discovery.Target, sent time.Time, opening bool) {
 	if token != t.Token && sent.Before(t.Since) {
 		return
 	}
 	if s.detector.RecordRetransmission(now, t.Token, sent) {
-		s.changes = append(s.changes, SuspicionChange{Target: t.Registration.Name, Token: t.Token, Suspected: true, Since: sent})
+		s.changes = append(s.changes, SuspicionChange{Target: t.Registration.Name, Token: t.Token, Suspected: true, Opening: opening, Since: sent})
 	}
 }
 
@@ -123,7 +126,7 @@
 	if previous, sent, ok := s.tracker.OpeningTarget(flow); ok && p.Retransmissions > 0 {
 		if t, known := s.view.tokens[previous.Token]; known {
 			if s.tracker.IsRetransmission(now, sent) {
-				s.retransmitted(now, t.Token, s.view.latest(t), sent)
+				s.retransmitted(now, t.Token, s.view.latest(t), sent, true)
 			}
 			if !s.detector.Target(previous.Token).Suspected() {
 				return forward(t, CauseSYNRetransmission)
@@ -192,7 +195,7 @@
 		s.detector.RecordAnswerTime(now, t.Registration.Service, signal.AnswerTime)
 	}
 	if signal.Retransmitted {
-		s.retransmitted(now, t.Token, latest, signal.SentAt)
+		s.retransmitted(now, t.Token, latest, signal.SentAt, false)
 	}
 	switch {
 	case signal.Retransmitted && s.lost(latest):
--- a/tokenfront/steering.go
+++ b/tokenfront/steering.go
@@ -186,10 +186,18 @@
 			continue
 		}
 		s.counters.suspicions.Add(1)
-		s.log.Warn("target does not answer; it gets no new flows except trials", "target", c.Target, "token", c.Token, "silent", now.Sub(c.Since))
+		s.log.Warn("target does not answer; it gets no new flows except trials", "target", c.Target, "token", c.Token, "packet", unansweredPacket(c), "silent", now.Sub(c.Since))
 	}
 }
 
+// unansweredPacket returns the name in the log of the packet that began a suspicion.
+func unansweredPacket(c steer.SuspicionChange) string {
+	if c.Opening {
+		return "open"
+	}
+	return "data"
+}
+
 // FlowName returns the name of a flow in the log: the caller's address and the service's.
 func FlowName(k pimentospread.FlowKey) string { return k.Caller.String() + ">" + k.Service.String() }
 
