Give up open flows only for unanswered data

Callers of a full target saw their open flows reset after one lost packet, and then had to compete for a place at the full targets.

Cause: the detector counted copies of SYNs, which a full target leaves unanswered, and single copies of different callers together, against all open flows of the target.

Change: only data on open flows counts, for each caller by itself: one caller has to have sent two copies in vain. Its target then counts as silent for others, too, until it answers anyone. A caller that does not send its next copy when that is due has got its answer. SYNs still keep new flows away.

The row "another caller was not answered before" of TestRequestsToASilentTarget was wrong: its first caller does not send the copy that a waiting caller sends after 600 ms, so it described two lost packets at a target that runs, and demanded the reset. That caller sends the copy now, with the same outcomes as before, and a new row has the caller that does not.

TestCallersOfACrashedTargetAreReset holds before and after.

--- a/outlier/detector.go
+++ b/outlier/detector.go
@@ -34,8 +34,8 @@
 	suspected bool
 	// silentSince is when the packet was sent that the suspected target did not answer.
 	silentSince time.Time
-	// retransmissions counts the retransmissions to the target since silentSince.
-	retransmissions int
+	// waits holds the callers of open flows that wait for an answer.
+	waits []wait
 	// nextTrial is when the next trial flow may be sent.
 	nextTrial time.Time
 	// interval is the current time between trials.
@@ -66,9 +66,7 @@
 // stayed unanswered does not.
 func (d *Detector) RecordAnswer(at time.Time, token pimentospread.Token) bool {
 	target := d.Target(token)
-	if at.After(target.answered) {
-		target.answered = at
-	}
+	target.answeredAt(at)
 	recovered := target.suspected && at.After(target.silentSince)
 	target.suspected = target.suspected && !recovered
 	return recovered
@@ -81,13 +79,10 @@
 func (d *Detector) RecordRetransmission(now time.Time, token pimentospread.Token, sent time.Time) bool {
 	target := d.Target(token)
 	switch {
-	case target.suspected:
-		target.retransmissions++
-		return false
-	case target.answered.After(sent):
+	case target.suspected, target.answered.After(sent):
 		return false
 	}
-	target.suspected, target.silentSince, target.retransmissions = true, sent, 1
+	target.suspected, target.silentSince = true, sent
 	target.interval = d.config.MinTrialInterval
 	target.nextTrial = now.Add(target.interval)
 	return true
--- a/outlier/giveup.go
+++ b/outlier/giveup.go
@@ -10,8 +10,8 @@
 // long request leaves it unacknowledged and looks the same as one that has crashed, so
 // the time depends on how long the service usually takes.
 type GiveUpConfig struct {
-	// MinRetransmissions is how often callers must have retransmitted to the target since it
-	// last answered.
+	// MinRetransmissions is how often one caller must have retransmitted a request to the target
+	// since it last answered. A single one may follow a lost packet.
 	MinRetransmissions int
 	// MinSilence is the shortest time without an answer.
 	MinSilence time.Duration
@@ -24,6 +24,7 @@
 
 // UnansweredRequest is a request that its caller has retransmitted.
 type UnansweredRequest struct {
+	Flow    pimentospread.FlowID
 	Target  pimentospread.Token
 	Service pimentospread.ServiceName
 	// FirstSentAt is when the request was first sent, and LastSentAt when it was sent before
@@ -32,23 +33,28 @@
 }
 
 // GivesUp reports whether the target of a request that was just retransmitted is considered
-// unable to answer it: it has answered no caller for a time in which the service answers
-// even its slowest requests, while other targets answered packets that this host sent. The
-// caller may then repeat an idempotent request elsewhere.
+// unable to answer it: a caller of the target still waits after several copies of its request
+// and after a time in which the service answers even its slowest requests, nobody got an
+// answer meanwhile, and other targets answered packets that this host sent. The caller
+// may then repeat an idempotent request elsewhere.
 func (d *Detector) GivesUp(now time.Time, r UnansweredRequest) bool {
-	c, target := d.config.GiveUp, d.Target(r.Target)
-	if !target.suspected || target.retransmissions < c.MinRetransmissions {
-		return false
-	}
-	silentSince := target.silentSince
-	if r.FirstSentAt.Before(silentSince) && !target.answered.After(r.FirstSentAt) {
-		silentSince = r.FirstSentAt
-	}
-	silence := c.MinSilence
+	target := d.Target(r.Target)
+	target.expireWaits(now)
+	silence := d.config.GiveUp.MinSilence
 	if times, ok := d.answerTimes[r.Service]; ok {
-		silence = max(silence, time.Duration(c.AnswerTimeFactor*float64(times.longest(now, c.AnswerTimeWindow))))
+		silence = max(silence, time.Duration(d.config.GiveUp.AnswerTimeFactor*float64(times.longest(now, d.config.GiveUp.AnswerTimeWindow))))
 	}
-	return now.Sub(silentSince) >= silence && d.deliveries.between(silentSince, r.LastSentAt.Add(deliveryMargin))
+	for i := range target.waits {
+		w := &target.waits[i]
+		if w.retransmissions < d.config.GiveUp.MinRetransmissions || now.Sub(w.since) < silence {
+			continue
+		}
+		if d.deliveries.between(w.since, r.LastSentAt.Add(deliveryMargin)) {
+			w.until = now.Add(givenUpLifetime)
+			return true
+		}
+	}
+	return false
 }
 
 // deliveryMargin is how much later than a lost packet one may be sent that shows that the
--- a/steer/giveup_test.go
+++ b/steer/giveup_test.go
@@ -81,9 +81,31 @@
 				f.steerer.Steer(start.Add(-700*ms), request(9, a.Token()))
 				f.steerer.Steer(start.Add(-500*ms), request(9, a.Token()))
 				f.answer(start.Add(-300*ms), 8, b.Token(), 10*ms)
+				f.steerer.Steer(start.Add(-100*ms), request(9, a.Token()))
 			},
 			causes: []steer.Cause{steer.CauseToken, steer.CauseSilentTarget, steer.CauseSilentTarget, steer.CauseSilentTarget},
 		},
+		// A caller that does not send its third copy after 600 ms has its answer.
+		"another caller lost one packet before": {
+			route: idempotentRoute(),
+			prepare: func(f *fixture) {
+				f.steerer.Steer(start.Add(-700*ms), request(9, a.Token()))
+				f.steerer.Steer(start.Add(-500*ms), request(9, a.Token()))
+				f.answer(start.Add(-300*ms), 8, b.Token(), 10*ms)
+			},
+			causes: []steer.Cause{steer.CauseToken, steer.CauseRetransmission, steer.CauseSilentTarget, steer.CauseSilentTarget},
+		},
+		"the target is full and answers no SYN": {
+			route: idempotentRoute(),
+			prepare: func(f *fixture) {
+				f.register(start.Add(-3*time.Second), a)
+				f.steerer.Steer(start.Add(-2*time.Second), syn(9, 0))
+				f.steerer.Steer(start.Add(-1800*ms), syn(9, 1))
+				f.steerer.Steer(start.Add(-1400*ms), syn(9, 2))
+				f.register(start, a, b)
+			},
+			causes: []steer.Cause{steer.CauseToken, steer.CauseRetransmission, steer.CauseSilentTarget, steer.CauseSilentTarget},
+		},
 		"no packet of this host reaches a target": {
 			route:  idempotentRoute(),
 			lost:   true,
--- a/steer/steerer.go
+++ b/steer/steerer.go
@@ -196,6 +196,7 @@
 	}
 	if signal.Retransmitted {
 		s.retransmitted(now, t.Token, latest, signal.SentAt, false)
+		s.detector.RecordUnanswered(now, unanswered(p, latest, signal))
 	}
 	switch {
 	case signal.Retransmitted && s.lost(latest):
@@ -217,9 +218,14 @@
 // so that the caller can repeat it before its deadline. A request that must not run
 // twice is never given up: it may be running, and its answer may still come.
 func (s *Steerer) givesUp(now time.Time, p Packet, t *discovery.Target, signal inflight.Signal) bool {
-	return !p.Delayed && s.view.routes[p.Key.Service].Idempotent && s.detector.GivesUp(now, outlier.UnansweredRequest{
-		Target: t.Token, Service: t.Registration.Service, FirstSentAt: signal.FirstSentAt, LastSentAt: signal.SentAt,
-	})
+	return !p.Delayed && s.view.routes[p.Key.Service].Idempotent && s.detector.GivesUp(now, unanswered(p, t, signal))
+}
+
+// unanswered returns the request that a caller has just retransmitted.
+func unanswered(p Packet, t *discovery.Target, signal inflight.Signal) outlier.UnansweredRequest {
+	return outlier.UnansweredRequest{
+		Flow: p.Key.ID(), Target: t.Token, Service: t.Registration.Service, FirstSentAt: signal.FirstSentAt, LastSentAt: signal.SentAt,
+	}
 }
 
 // lost reports whether a target that did not answer a packet has stopped for good. The
