Send copies of a SYN to targets of the present route

Callers got requests run by the service that a route had before, although the host that sent their opening packet on had the new route in force and used it.

Cause: a copy of an opening packet went to the target of the first one unless that target was suspected. The service of the route, which had just been looked up, was not compared. A target that is full leaves the first SYN unanswered, answers other callers, and is not suspected.

Change: a copy goes to the same target only while that target is registered and serves the route of the configuration in force. Otherwise it is placed as a new flow. Copies stay at a draining target, which accepts them and may have answered already.

--- a/steer/steerer.go
+++ b/steer/steerer.go
@@ -115,7 +115,8 @@
 }
 
 // open selects the target of a new flow. A retransmitted SYN goes to the same
-// target as before unless that target is suspected.
+// target as before, because the caller may still get the answer to the first one, unless that
+// target is suspected, has departed or no longer serves the route.
 func (s *Steerer) open(now time.Time, p Packet) Action {
 	route, ok := s.view.routes[p.Key.Service]
 	if !ok {
@@ -128,7 +129,7 @@
 			if s.tracker.IsRetransmission(now, sent) {
 				s.retransmitted(now, t.Token, s.view.latest(t), sent, true)
 			}
-			if !s.detector.Target(previous.Token).Suspected() {
+			if t.Registration.Service == service && !t.Departed && !s.detector.Target(previous.Token).Suspected() {
 				return forward(t, CauseSYNRetransmission)
 			}
 		}
