Restart targets under their names in the soak

The fault "restart" stops a target and starts it again at once under its name and address, which registers up to 1 s later. Runs with all faults draw other faults by their seeds from now on; the cases with fixed seeds name their faults.

--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -327,13 +327,18 @@
 		return err
 	}
 	r.nextTarget++
-	ctx, stop := context.WithCancel(r.group.Context())
-	r.group.Go("target "+t.name, func(context.Context) error { return t.run(ctx) })
-	r.targets[service] = append(r.targets[service], &runningTarget{t, stop})
+	r.runTarget(t)
 	r.writeObject(http.MethodPost, "servers", t.name, t.registration(stateReady, 1))
 	return nil
 }
 
+// runTarget starts the duty of a target.
+func (r *run) runTarget(t *target) {
+	ctx, stop := context.WithCancel(r.group.Context())
+	r.group.Go("target "+t.name, func(context.Context) error { return t.run(ctx) })
+	r.targets[t.service] = append(r.targets[t.service], &runningTarget{t, stop})
+}
+
 // takeOldest removes the longest running target of a random service from the list.
 func (r *run) takeOldest(rng *rand.Rand) (string, *runningTarget) {
 	service := services[rng.IntN(len(services))]
@@ -370,3 +375,20 @@
 		r.writeObject(http.MethodDelete, "servers", old.target.name, "")
 	}()
 }
+
+// restartTarget stops a target and starts it again under its name. It registers 0 to 1 s
+// later, so that flows open at the new process by the registration of the earlier one.
+func (r *run) restartTarget(rng *rand.Rand) {
+	_, old := r.takeOldest(rng)
+	delay := time.Duration(rng.Int64N(int64(time.Second)))
+	r.checker.update(func(o *observations) { o.stopped[old.target] = true })
+	old.stop()
+	again, err := old.target.restart()
+	if err != nil {
+		r.checker.standInFailed("restart target: %v", err)
+		return
+	}
+	r.runTarget(again)
+	time.Sleep(delay)
+	r.writeObject(http.MethodPut, "servers", again.name, again.registration(stateReady, 1))
+}
--- a/standin/soak/schedule.go
+++ b/standin/soak/schedule.go
@@ -74,6 +74,7 @@
 		{"late events", admin(`{"Lag":"700ms"}`)},
 		{"few calls", admin(`{"ReadsPerSecond":3,"WritesPerSecond":1}`)},
 		{"restore", func(r *run, rng *rand.Rand) func() { return r.restoreStore(rng) }},
+		{"restart", func(r *run, rng *rand.Rand) func() { r.restartTarget(rng); return nil }},
 	}
 }
 
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -40,6 +40,10 @@
 			Seed: 4, Length: 8 * time.Second, Hosts: 4, Callers: 12,
 			Faults: []string{"restore", "kill", "release", "crash", "configuration", "pause"},
 		},
+		"targets that restart under their names while hosts stop": {
+			Seed: 29, Length: 8 * time.Second, Hosts: 4, Callers: 12,
+			Faults: []string{"restart", "stop", "configuration", "release", "pause"},
+		},
 		// A host that resumed processed a SYN and its copy in a row, suspected the
 		// target of being down and opened the flow at a second one.
 		"SYN and its copy after a pause": {Seed: 1185, Length: 3 * time.Second, Hosts: 5, Callers: 24, Faults: originalKinds},
--- a/standin/soak/target.go
+++ b/standin/soak/target.go
@@ -48,6 +48,21 @@
 	}, nil
 }
 
+// restart returns a new process of the target under its name and at its address. It holds
+// no flow of the earlier process, whose socket it closes.
+func (t *target) restart() (*target, error) {
+	address := t.conn.LocalAddr().(*net.UDPAddr)
+	_ = t.conn.Close()
+	conn, err := net.ListenUDP("udp4", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen for target %s again: %w", t.name, err)
+	}
+	return &target{
+		name: t.name, instance: t.instance, service: t.service, zone: t.zone,
+		startedAt: time.Now().UnixMilli(), conn: conn, checker: t.checker, flows: map[netip.AddrPort]*targetFlow{},
+	}, nil
+}
+
 // registration returns the registration of the target with the platform as JSON.
 func (t *target) registration(s state, sequence int) string {
 	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":4,"state":%q,"warmup_left_ms":0,"sequence":%d,"born":%d}`,
