Remove an ineffective assignment from a test

The linter reported lateRouted in steer.TestLateHostResetsNoFlowOfALaterVersion. The value was always that of routed when it was read, so the test checks as before; make lint reports no issue now, one before.

--- a/steer/dropped_test.go
+++ b/steer/dropped_test.go
@@ -121,7 +121,7 @@
 		// removals are the times at which the route was removed.
 		var removals []time.Time
 		f.configure(1, deskRoute())
-		late, lateRouted := version, routed
+		late := version
 		opened := map[uint16]time.Time{}
 		port := uint16(0)
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
@@ -138,9 +138,9 @@
 					opened[port] = now
 				}
 			case "sync":
-				late, lateRouted = version, routed
+				late = version
 				var routes []pimentospread.Route
-				if lateRouted {
+				if routed {
 					routes = append(routes, deskRoute())
 				}
 				f.table.Put(pimentospread.Configuration{Version: late, Routes: routes})
