Name the method that records an answer after what it does

outlier.Target.answeredAt read like a getter of a time. It is recordAnswer now, and the comment of wait says at once which packets count. No behaviour changes; the tests of outlier and steer pass.

--- a/outlier/detector.go
+++ b/outlier/detector.go
@@ -66,7 +66,7 @@
 // stayed unanswered does not.
 func (d *Detector) RecordAnswer(at time.Time, token pimentospread.Token) bool {
 	target := d.Target(token)
-	target.answeredAt(at)
+	target.recordAnswer(at)
 	recovered := target.suspected && at.After(target.silentSince)
 	target.suspected = target.suspected && !recovered
 	return recovered
--- a/outlier/wait.go
+++ b/outlier/wait.go
@@ -20,8 +20,8 @@
 	givenUpLifetime = 4 * time.Second
 )
 
-// wait is a caller that waits for the answer to data that it has sent again. Only data on an
-// open flow counts: a target that is full leaves SYNs unanswered and still serves its flows.
+// wait is a caller of an open flow that has retransmitted data and waits for the answer. SYNs
+// do not count: a target that is full leaves them unanswered and still serves its flows.
 type wait struct {
 	flow pimentospread.FlowID
 	// since is when the oldest copy was sent that the target has not answered.
@@ -62,8 +62,9 @@
 	t.waits = slices.DeleteFunc(t.waits, func(w wait) bool { return now.After(w.until) })
 }
 
-// answeredAt drops the callers that waited when the target answered any caller.
-func (t *Target) answeredAt(at time.Time) {
+// recordAnswer records an answer to any caller at the given time or later, and drops the
+// callers that waited before.
+func (t *Target) recordAnswer(at time.Time) {
 	if at.After(t.answered) {
 		t.answered = at
 	}
