--- a/controlplane/scenario_test.go
+++ b/controlplane/scenario_test.go
@@ -197,7 +197,7 @@
 }
 
 // TestLeavingCellTakesReleases guards against hosts that steer by the release of the time when
-// they were told to stop, because each of them stopped watching the platform.
+// their shutdown began, because each of them stopped watching the platform.
 func TestLeavingCellTakesReleases(t *testing.T) {
 	for _, hosts := range []int{1, 4} {
 		s := newSim(1, hosts, 1, t.Fatalf)
--- a/inflight/tracker.go
+++ b/inflight/tracker.go
@@ -154,8 +154,8 @@
 	return f.target, f.lastSent, true
 }
 
-// Knows reports whether the flow is tracked.
-func (t *Tracker) Knows(id pimentospread.FlowID) bool {
+// Tracks reports whether this host has seen packets of the flow within its lifetime.
+func (t *Tracker) Tracks(id pimentospread.FlowID) bool {
 	_, ok := t.flows[id]
 	return ok
 }
--- a/steer/dropped.go
+++ b/steer/dropped.go
@@ -55,7 +55,7 @@
 // of the configuration, unless the view is known to be newer than the flow.
 func (s *Steerer) followDropped(now time.Time, p Packet) Action {
 	id := p.Key.ID()
-	if s.tracker.Knows(id) || s.unconfirmed.confirmed(now, s.view.Confirmed, id) {
+	if s.tracker.Tracks(id) || s.unconfirmed.confirmed(now, s.view.Confirmed, id) {
 		delete(s.unconfirmed.seen, id)
 		return Action{Kind: Reset, Cause: CauseRouteDropped}
 	}
--- a/tokenfront/fleet_shutdown_test.go
+++ b/tokenfront/fleet_shutdown_test.go
@@ -15,9 +15,9 @@
 	"pimentospread/ring"
 )
 
-// Guards against hosts that decide by the routes and targets of the time when they were told
-// to stop. The fabric sends them packets for seconds more, and they reset flows of routes
-// that were added meanwhile.
+// Guards against hosts that decide by the routes and targets of the time when their shutdown
+// began. The fabric sends them packets for seconds more, and they reset flows of routes that
+// were added meanwhile.
 func TestFleetHostsThatStopFollowChanges(t *testing.T) {
 	const bound = 3 * time.Second // the shortest bound of the users for drains and configurations
 	for _, size := range fleetSizes[:2] {
