Simplify two tests of the last changes

A comment of TestFleetHostsStopOneAfterAnother named a check that the test does not make, and TestCallersOfACrashedTargetAreReset had a type for one field.

--- a/steer/full_test.go
+++ b/steer/full_test.go
@@ -79,22 +79,21 @@
 	})
 }
 
-// Guards against callers of a target that has crashed who wait longer, because the SYNs that
-// it leaves unanswered do not count: each of them is reset with its second retransmission, and
-// with its first one as soon as another caller has waited as long.
+// Guards against callers who wait longer for a target that has crashed, now that the SYNs which
+// it leaves unanswered do not count. A caller is reset with its second retransmission, and
+// with its first one once another caller has waited that long.
 func TestCallersOfACrashedTargetAreReset(t *testing.T) {
 	f := newFixture()
 	f.configure(1, idempotentRoute())
 	crashed, other := registration("i-1", localDomain), registration("i-2", localDomain)
 	f.register(start, crashed, other)
 	resets := map[int]time.Duration{}
-	type caller struct{ sent time.Duration }
-	callers := []caller{{0}, {150 * time.Millisecond}, {450 * time.Millisecond}, {900 * time.Millisecond}, {3 * time.Second}}
+	sent := []time.Duration{0, 150 * time.Millisecond, 450 * time.Millisecond, 900 * time.Millisecond, 3 * time.Second}
 	var packets []timedPacket
-	for i, c := range callers {
+	for i, at := range sent {
 		p := request(uint16(i+1), crashed.Token())
 		for _, after := range []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond} {
-			packets = append(packets, timedPacket{c.sent + after, p})
+			packets = append(packets, timedPacket{at + after, p})
 		}
 	}
 	answering := quietCaller{request(5000, other.Token()), true}
@@ -108,7 +107,7 @@
 			continue
 		}
 		if a := f.steerer.Steer(start.Add(p.at), p.packet); a.Kind == steer.Reset {
-			resets[i] = p.at - callers[i].sent
+			resets[i] = p.at - sent[i]
 		}
 	}
 	for i, want := range []time.Duration{600 * time.Millisecond, 600 * time.Millisecond, 200 * time.Millisecond, 200 * time.Millisecond, 200 * time.Millisecond} {
--- a/tokenfront/fleet_shutdown_test.go
+++ b/tokenfront/fleet_shutdown_test.go
@@ -48,8 +48,8 @@
 	}
 }
 
-// Guards against a host that stops and follows no change because its source stops after it,
-// and against one that sends updates to others although it announced that it leaves.
+// Guards against a host that stops and follows no change because its source stops after it
+// or has just started again, as in a rolling restart.
 func TestFleetHostsStopOneAfterAnother(t *testing.T) {
 	const bound = 3 * time.Second
 	f := newFleet(t, 7, 3, 20)
